--- /dev/null
+++ b/internal/edge/instance.go
@@ -0,0 +1,208 @@
+package edge
+
+import (
+	"context"
+	"math/rand"
+	"net/http"
+	"net/netip"
+	"os"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"guavaloom.example/guavaloom/internal/admin"
+	"guavaloom.example/guavaloom/internal/eventlog"
+	"guavaloom.example/guavaloom/internal/forwarding"
+	"guavaloom.example/guavaloom/internal/logfield"
+	"guavaloom.example/guavaloom/internal/metric"
+	"guavaloom.example/guavaloom/internal/packet"
+	"guavaloom.example/guavaloom/internal/platform"
+	"guavaloom.example/guavaloom/internal/replica"
+	"guavaloom.example/guavaloom/internal/view"
+)
+
+const (
+	// tickEvery is how often old flows are forgotten and ended targets looked for.
+	tickEvery = 500 * time.Millisecond
+	// memoryShare is the part of the process's limit that the Go runtime may use.
+	memoryShare = 0.7
+	// headerTimeout bounds the time for the header of a request to the instance.
+	headerTimeout = 5 * time.Second
+)
+
+// Entries decodes the objects of the store.
+type Entries interface {
+	Target(name string, value []byte) (view.TargetEntry, error)
+	Config(name string, value []byte) (view.Config, []error, error)
+	Instance(value []byte) (zone string, addr netip.AddrPort, err error)
+	InstanceValue(zone string, addr netip.AddrPort) ([]byte, error)
+}
+
+// Platform is what an instance needs of the platform that it runs on.
+type Platform struct {
+	Store   platform.Store
+	Codec   forwarding.Codec
+	Entries Entries
+	// ConfigKind, TargetKind and InstanceKind are the kinds of the objects.
+	ConfigKind, TargetKind, InstanceKind string
+	// Transport is used for calls to other instances.
+	Transport *http.Transport
+	// ReadyHandler serves the readiness check of the routers.
+	ReadyHandler func(ready func() bool) http.Handler
+	// RequestID returns the id of the request that begins in the data, or "".
+	RequestID func(data []byte) string
+}
+
+// Instance is one running instance.
+type Instance struct {
+	settings *Settings
+	platform Platform
+	start    time.Time
+	log      *eventlog.Log
+	metrics  *metric.Set
+	counters *counters
+	replica  *replica.Replica
+	packets  *packet.Receiver
+	registry *registry
+
+	mu      sync.Mutex // guards all below
+	forward *forwarding.Forwarder
+	// lastPacket is when a packet arrived last.
+	lastPacket time.Duration
+	stopping   bool
+}
+
+// New returns an instance that logs to out.
+func New(s *Settings, p Platform, out *logrus.Logger) *Instance {
+	i := &Instance{
+		settings: s, platform: p, start: time.Now(),
+		log:      eventlog.New(out, logrus.Fields{logfield.Instance: s.Name}),
+		metrics:  metric.NewSet(),
+		replica:  replica.New(p.ConfigKind, p.TargetKind, p.InstanceKind),
+		registry: newRegistry(s),
+	}
+	i.counters = newCounters(i.metrics)
+	i.forward = forwarding.New(s.Zone, observer{i})
+	return i
+}
+
+// now reads the steady clock.
+func (i *Instance) now() time.Duration { return time.Since(i.start) }
+
+// Run serves until ctx ends and the instance has stopped gracefully. reload is
+// signalled when the settings file may have changed.
+func (i *Instance) Run(ctx context.Context, file string, reload <-chan os.Signal) error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(i.settings.MemoryMB<<20)))
+	life, end := context.WithCancel(context.Background())
+	defer end()
+	logged := make(chan struct{})
+	logging, endLog := context.WithCancel(context.Background())
+	go func() { i.log.Run(logging); close(logged) }()
+	defer func() { endLog(); <-logged }()
+	i.log.Event(lifeClass, "start", logrus.Fields{logfield.Zone: i.settings.Zone, logfield.Address: i.settings.Packet.String()})
+
+	var err error
+	if i.packets, err = packet.Listen(life, i.settings.Packet, int(i.settings.Workers)); err != nil {
+		return err
+	}
+	if err := i.serve(life); err != nil {
+		return err
+	}
+	i.startReading(life)
+	go i.tickLoop(life)
+	go i.watchSettings(life, file, reload)
+	failed := make(chan error, 1)
+	go func() { failed <- i.packets.Run(life, func(int) packet.Handler { return i.handlePackets }) }()
+	select {
+	case err := <-failed:
+		return errors.Errorf("packet workers ended: %v", err)
+	case <-ctx.Done():
+	}
+	i.stop()
+	return nil
+}
+
+// serve starts the HTTP servers.
+func (i *Instance) serve(ctx context.Context) error {
+	adm, err := admin.Listen(i.settings.Admin, i.metrics, i.notReady)
+	if err != nil {
+		return err
+	}
+	go i.reportEnd("admin", adm.Serve)
+	context.AfterFunc(ctx, func() { _ = adm.Shutdown(context.Background()) }) // the process ends
+	ready := i.platform.ReadyHandler(func() bool { return len(i.notReady()) == 0 })
+	if err := i.serveHTTP(ctx, "ready", i.settings.Ready, ready); err != nil {
+		return err
+	}
+	return i.serveHTTP(ctx, "peer", i.settings.Peer, i.peerHandler())
+}
+
+func (i *Instance) serveHTTP(ctx context.Context, name string, addr netip.AddrPort, h http.Handler) error {
+	l, err := (&netListenConfig).Listen(ctx, "tcp", addr.String())
+	if err != nil {
+		return errors.Wrapf(err, "%s listener", name)
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	go i.reportEnd(name, func() error { return s.Serve(l) })
+	context.AfterFunc(ctx, func() { _ = s.Close() }) // the process ends
+	return nil
+}
+
+// reportEnd logs the unexpected end of a server.
+func (i *Instance) reportEnd(name string, serve func() error) {
+	if err := serve(); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		i.log.Event(lifeClass, "server ended", logrus.Fields{logfield.Part: name, logfield.Error: err.Error()})
+	}
+}
+
+// notReady returns why the instance should get no packets.
+func (i *Instance) notReady() []string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	var reasons []string
+	if i.stopping {
+		reasons = append(reasons, "stopping")
+	}
+	if !i.forward.View.Complete() {
+		reasons = append(reasons, "no_view")
+	}
+	return reasons
+}
+
+// tickLoop does the periodic work of the forwarder.
+func (i *Instance) tickLoop(ctx context.Context) {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			i.tick()
+		}
+	}
+}
+
+func (i *Instance) tick() {
+	now := i.now()
+	i.mu.Lock()
+	resets := i.forward.Tick(now)
+	i.counters.flows.Update(float64(i.forward.Flows()))
+	i.mu.Unlock()
+	for _, r := range resets {
+		i.sendReset(r)
+	}
+	for _, kind := range i.replica.Kinds() {
+		if age, ok := i.replica.Age(now, kind); ok {
+			i.metrics.Gauge(metric.EdgeViewAge, kind).Update(milliseconds(age))
+		}
+	}
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// newRand returns a source of random numbers for pauses between calls.
+func newRand() *rand.Rand { return rand.New(rand.NewSource(time.Now().UnixNano())) }
--- /dev/null
+++ b/internal/edge/reading.go
@@ -0,0 +1,362 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/sirupsen/logrus"
+
+	"guavaloom.example/guavaloom/internal/logfield"
+	"guavaloom.example/guavaloom/internal/metric"
+	"guavaloom.example/guavaloom/internal/platform"
+	"guavaloom.example/guavaloom/internal/replica"
+	"guavaloom.example/guavaloom/internal/target"
+	"guavaloom.example/guavaloom/internal/view"
+)
+
+const (
+	// storeWait is how long a watch of the store waits. A store that has gone
+	// silent is noticed soon after, well before changes have to be in force (3 s).
+	storeWait = 2500 * time.Millisecond
+	// instanceWait is the same for the list of instances, which may be old.
+	instanceWait = 20 * time.Second
+	// peerWait is how long a watch of another instance waits.
+	peerWait = time.Second
+	// peerTimeout is the limit of a list from another instance, and what a watch
+	// may take beyond its wait.
+	peerTimeout = 700 * time.Millisecond
+	// askPeersAfter is the age of the replica at which an instance that reads the
+	// store asks other instances too.
+	askPeersAfter = 1200 * time.Millisecond
+	// readStoreAfter is the age at which an instance that reads from others turns
+	// to the store.
+	readStoreAfter = 2200 * time.Millisecond
+	// idlePause is the pause before a source that is not needed is considered again.
+	idlePause = 200 * time.Millisecond
+)
+
+// startReading starts to follow all kinds.
+func (i *Instance) startReading(ctx context.Context) {
+	for _, kind := range i.replica.Kinds() {
+		go i.readStore(ctx, kind)
+		go i.readPeers(ctx, kind)
+	}
+}
+
+// readStore follows a kind at the store, as long as this instance should.
+func (i *Instance) readStore(ctx context.Context, kind string) {
+	wait := storeWait
+	if kind == i.platform.InstanceKind {
+		wait = instanceWait
+	}
+	plan := replica.NewPlan(wait, newRand())
+	lost := false
+	for ctx.Err() == nil {
+		if !i.needsStore(kind) {
+			plan.Restart()
+			sleep(ctx, idlePause)
+			continue
+		}
+		began := i.now()
+		res := platform.Do(ctx, i.platform.Store, plan.Next(kind))
+		if ctx.Err() != nil {
+			return
+		}
+		pause := plan.Done(&res)
+		lost = i.tookAnswer(kind, "store", "", began, &res, lost)
+		if kind == i.platform.InstanceKind && res.Err == nil && res.Call.Op == platform.OpList {
+			i.register(ctx)
+		}
+		sleep(ctx, pause)
+	}
+}
+
+// needsStore reports whether this instance should read a kind from the store.
+func (i *Instance) needsStore(kind string) bool {
+	now := i.now()
+	if _, self := i.registry.readers(now); self {
+		return true
+	}
+	age, ok := i.replica.Age(now, kind)
+	return !ok || kind != i.platform.InstanceKind && age > readStoreAfter
+}
+
+// readPeers follows a kind at other instances: always if this instance doesn't read
+// the store, else while the replica is not known to be fresh.
+func (i *Instance) readPeers(ctx context.Context, kind string) {
+	lost := false
+	for ctx.Err() == nil {
+		now := i.now()
+		age, listed := i.replica.Age(now, kind)
+		_, reader := i.registry.readers(now)
+		addr, ok := i.registry.next(now)
+		if !ok || reader && listed && age < askPeersAfter || kind == i.platform.InstanceKind && listed && reader {
+			sleep(ctx, idlePause)
+			continue
+		}
+		began := i.now()
+		call := platform.Call{Op: platform.OpList, Key: kind}
+		if listed {
+			call = platform.Call{Op: platform.OpWatch, Key: kind, Version: i.replica.Version(kind), Wait: peerWait}
+		}
+		res := i.callPeer(ctx, addr, call)
+		if errors.Is(res.Err, platform.ErrExpired) {
+			res = i.callPeer(ctx, addr, platform.Call{Op: platform.OpList, Key: kind})
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		lost = i.tookAnswer(kind, "peer", addr.String(), began, &res, lost)
+		if res.Err != nil {
+			i.registry.fail(i.now(), addr)
+			sleep(ctx, idlePause)
+			continue
+		}
+		i.registry.answered(addr)
+		if res.Listing.Age > readStoreAfter {
+			i.registry.fail(i.now(), addr) // it is cut off itself; others may know more
+		}
+	}
+}
+
+// callPeer makes a call to another instance.
+func (i *Instance) callPeer(ctx context.Context, addr netip.AddrPort, c platform.Call) platform.Result {
+	client := platform.New(platform.Config{
+		URL: "http://" + addr.String(), Timeout: peerTimeout, Liveness: peerTimeout, Attempts: 1,
+		HTTP: &http.Client{Transport: i.platform.Transport},
+	})
+	return platform.Do(ctx, client, c)
+}
+
+// tookAnswer adopts the outcome of a call and logs when a source is lost or regained.
+// lost tells whether the source was lost before; the result is the same for now.
+func (i *Instance) tookAnswer(kind, source, address string, began time.Duration, res *platform.Result, lost bool) bool {
+	now := i.now()
+	result := source + ":" + string(res.Call.Op) + ":ok"
+	if res.Err != nil {
+		result = source + ":" + string(res.Call.Op) + ":" + errorName(res.Err)
+	}
+	i.metrics.Counter(metric.EdgeReads, result).Inc(1)
+	if res.Call.Op == platform.OpList {
+		i.metrics.Summary(metric.EdgeReadTime, source).Update((now - began).Microseconds())
+	}
+	fields := logrus.Fields{logfield.Kind: kind, logfield.Source: source}
+	if address != "" {
+		fields[logfield.Peer] = address
+	}
+	if res.Err != nil {
+		expired := errors.Is(res.Err, platform.ErrExpired)
+		if source == "store" && !expired {
+			i.replica.StoreFailed(now)
+		}
+		if !lost || expired {
+			age, _ := i.replica.Age(now, kind)
+			fields[logfield.Error], fields[logfield.Age] = res.Err.Error(), age.Milliseconds()
+			i.log.Event(viewClass, "source failed", fields)
+		}
+		return !expired || lost
+	}
+	if lost {
+		fields[logfield.Age] = (now - began).Milliseconds()
+		i.log.Event(viewClass, "source regained", fields)
+	}
+	i.adopt(now, began, kind, source, res)
+	return false
+}
+
+// errorName names the error of a call for counters.
+func errorName(err error) string {
+	for name, e := range map[string]error{
+		"expired": platform.ErrExpired, "unavailable": platform.ErrUnavailable,
+		"not_found": platform.ErrNotFound, "conflict": platform.ErrConflict, "unknown": platform.ErrUnknown,
+	} {
+		if errors.Is(err, e) {
+			return name
+		}
+	}
+	return "failed"
+}
+
+// adopt takes an answer into the replica and the view, in one step, so that two
+// sources can't overtake each other between the two.
+func (i *Instance) adopt(now, began time.Duration, kind, source string, res *platform.Result) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	var u replica.Update
+	if res.Call.Op == platform.OpList {
+		// The answer shows the state at some time after the call.
+		res.Listing.Age += now - began
+		u = i.replica.List(now, kind, res.Listing)
+	} else {
+		u = i.replica.Events(now, kind, res.Listing)
+	}
+	age, _ := i.replica.Age(now, kind)
+	for _, o := range u.Objects {
+		i.adoptObject(now, kind, source, o, u.Outage)
+	}
+	switch kind {
+	case i.platform.ConfigKind:
+		i.forward.ConfigFreshAt = now - age
+	case i.platform.TargetKind:
+		i.forward.TargetsFreshAt = now - age
+		if u.First {
+			i.forward.View.MarkListed()
+		}
+		if len(u.Objects) > 0 {
+			i.forward.TargetsChanged()
+		}
+	case i.platform.InstanceKind:
+		i.forward.SetInstances(i.registry.zoneSize())
+	}
+	if u.First {
+		i.log.Event(viewClass, "first list", logrus.Fields{
+			logfield.Kind: kind, logfield.Source: source, logfield.Version: uint64(res.Listing.Version), logfield.Count: len(u.Objects),
+		})
+	}
+}
+
+func (i *Instance) adoptObject(now time.Duration, kind, source string, o platform.Object, outage bool) {
+	_, name, _ := strings.Cut(o.Key, "/")
+	switch kind {
+	case i.platform.ConfigKind:
+		i.adoptConfig(name, source, o)
+	case i.platform.TargetKind:
+		i.adoptTarget(now, name, source, o, outage)
+	case i.platform.InstanceKind:
+		i.adoptInstance(name, o)
+	}
+}
+
+func (i *Instance) adoptConfig(name, source string, o platform.Object) {
+	fields := logrus.Fields{logfield.Source: source, logfield.Version: uint64(o.Version)}
+	if o.Deleted {
+		i.log.Event(viewClass, "configuration removed from the store, the last one holds", fields)
+		return
+	}
+	c, problems, err := i.platform.Entries.Config(name, o.Value)
+	for _, p := range problems {
+		i.unreadable(i.platform.ConfigKind, name, p)
+	}
+	if err != nil {
+		i.unreadable(i.platform.ConfigKind, name, err)
+		return
+	}
+	if i.forward.View.SetConfig(c) {
+		i.metrics.Counter(metric.EdgeChanges, "config").Inc(1)
+		fields[logfield.Config], fields[logfield.Count] = c.Version, len(c.Routes)
+		i.log.Event(viewClass, "configuration", fields)
+	}
+}
+
+func (i *Instance) adoptTarget(now time.Duration, name, source string, o platform.Object, outage bool) {
+	var change view.Change
+	var t *view.Target
+	v := i.forward.View
+	switch {
+	case o.Deleted:
+		t, change = v.Remove(now, target.ID(name), uint64(o.Version), outage)
+	default:
+		e, err := i.platform.Entries.Target(name, o.Value)
+		if err != nil {
+			i.unreadable(i.platform.TargetKind, name, err)
+			change = v.PutUnreadable(target.ID(name), uint64(o.Version))
+			break
+		}
+		t, change = v.Put(now, e, uint64(o.Version))
+	}
+	if change == view.Unchanged {
+		return
+	}
+	i.metrics.Counter(metric.EdgeChanges, string(change)).Inc(1)
+	fields := logrus.Fields{
+		logfield.Target: name, logfield.Change: string(change), logfield.Source: source, logfield.Version: uint64(o.Version),
+	}
+	if t != nil {
+		fields[logfield.Service], fields[logfield.Zone], fields[logfield.Address] = string(t.Service), t.Zone, t.Addr.String()
+	}
+	i.log.Event(viewClass, "target", fields)
+}
+
+func (i *Instance) unreadable(kind, name string, err error) {
+	i.metrics.Counter(metric.EdgeUnreadable, kind).Inc(1)
+	i.log.Event(viewClass, "entry unreadable", logrus.Fields{logfield.Kind: kind, logfield.Target: name, logfield.Error: err.Error()})
+}
+
+func (i *Instance) adoptInstance(name string, o platform.Object) {
+	if o.Deleted {
+		i.registry.remove(name)
+		return
+	}
+	zone, addr, err := i.platform.Entries.Instance(o.Value)
+	if err != nil {
+		i.unreadable(i.platform.InstanceKind, name, err)
+		return
+	}
+	i.registry.put(name, zone, addr)
+}
+
+// register writes the instance's entry into the store unless it is there already.
+func (i *Instance) register(ctx context.Context) {
+	name, kind := i.settings.Name, i.platform.InstanceKind
+	value, err := i.platform.Entries.InstanceValue(i.settings.Zone, i.settings.Peer)
+	if err != nil {
+		i.log.Event(viewClass, "not registered", logrus.Fields{logfield.Error: err.Error()})
+		return
+	}
+	expect, same := i.registered(kind, name)
+	if same {
+		return
+	}
+	if _, err = i.platform.Store.Put(ctx, kind+"/"+name, value, expect); err != nil {
+		i.log.Event(viewClass, "not registered, to be tried at the next list", logrus.Fields{logfield.Error: err.Error()})
+		return
+	}
+	i.log.Event(viewClass, "registered", logrus.Fields{logfield.Address: i.settings.Peer.String()})
+}
+
+// registered returns the version of the instance's entry and whether it is right.
+func (i *Instance) registered(kind, name string) (platform.Version, bool) {
+	l, _, err := i.replica.Changes(i.now(), kind, 0)
+	if err != nil {
+		return 0, false
+	}
+	for _, o := range l.Objects {
+		if o.Key != kind+"/"+name {
+			continue
+		}
+		zone, addr, err := i.platform.Entries.Instance(o.Value)
+		return o.Version, err == nil && zone == i.settings.Zone && addr == i.settings.Peer
+	}
+	return 0, false
+}
+
+// peerHandler serves the replica to other instances.
+func (i *Instance) peerHandler() http.Handler {
+	h := i.replica.Handler(i.now)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		i.mu.Lock()
+		stopping := i.stopping
+		i.mu.Unlock()
+		if stopping {
+			http.Error(w, "stopping", http.StatusServiceUnavailable)
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/edge/registry.go
@@ -0,0 +1,163 @@
+package edge
+
+import (
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"guavaloom.example/guavaloom/internal/rendezvous"
+)
+
+const (
+	// readersPerZone is how many instances of a data centre read the store.
+	readersPerZone = 2
+	// peerRetry is how long an instance that failed to answer is passed over.
+	peerRetry = 1500 * time.Millisecond
+)
+
+// peer is another instance.
+type peer struct {
+	name, zone string // empty for a seed that is not known by name yet
+	addr       netip.AddrPort
+	failedAt   time.Duration
+	failed     bool
+}
+
+// registry knows the other instances: those named by the settings and those that
+// registered in the store. It is safe for concurrent use.
+type registry struct {
+	self, zone string
+	selfAddr   netip.AddrPort
+
+	mu    sync.Mutex // guards all below; taken alone
+	seeds []netip.AddrPort
+	named map[string]*peer
+	byURL map[netip.AddrPort]*peer
+	turn  int
+}
+
+func newRegistry(s *Settings) *registry {
+	return &registry{
+		self: s.Name, zone: s.Zone, selfAddr: s.Peer, seeds: s.Seeds,
+		named: map[string]*peer{}, byURL: map[netip.AddrPort]*peer{},
+	}
+}
+
+func (r *registry) setSeeds(seeds []netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seeds = seeds
+}
+
+// put records a registered instance.
+func (r *registry) put(name, zone string, addr netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.named[name] = &peer{name: name, zone: zone, addr: addr}
+}
+
+func (r *registry) remove(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.named, name)
+}
+
+// failed records that an instance did not answer.
+func (r *registry) fail(now time.Duration, addr netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.at(addr)
+	p.failed, p.failedAt = true, now
+}
+
+// answered records that an instance answered.
+func (r *registry) answered(addr netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.at(addr).failed = false
+}
+
+// at returns the health record of an address.
+func (r *registry) at(addr netip.AddrPort) *peer {
+	p := r.byURL[addr]
+	if p == nil {
+		p = &peer{addr: addr}
+		r.byURL[addr] = p
+	}
+	return p
+}
+
+func (r *registry) healthy(now time.Duration, addr netip.AddrPort) bool {
+	p := r.byURL[addr]
+	return p == nil || !p.failed || now >= p.failedAt+peerRetry
+}
+
+// zoneSize returns how many instances of the own data centre are registered.
+func (r *registry) zoneSize() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, p := range r.named {
+		if p.zone == r.zone {
+			n++
+		}
+	}
+	if r.named[r.self] == nil {
+		n++
+	}
+	return n
+}
+
+// readers returns the instances of the own data centre that should read the store,
+// best first, leaving out those that did not answer. self tells whether this
+// instance is one of them.
+func (r *registry) readers(now time.Duration) (others []netip.AddrPort, self bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	names := []string{r.self}
+	for name, p := range r.named {
+		if name != r.self && p.zone == r.zone && r.healthy(now, p.addr) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	seeds := make([]uint64, len(names))
+	for i, name := range names {
+		seeds[i] = rendezvous.Seed(name)
+	}
+	for _, at := range rendezvous.Top(seeds, rendezvous.Seed(r.zone), readersPerZone) {
+		if names[at] == r.self {
+			self = true
+			continue
+		}
+		others = append(others, r.named[names[at]].addr)
+	}
+	return others, self
+}
+
+// next returns another instance to read from: a reader of the own data centre,
+// else in turn one of all that are known. ok is false if none is known to answer.
+func (r *registry) next(now time.Duration) (addr netip.AddrPort, ok bool) {
+	readers, _ := r.readers(now)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, a := range readers {
+		if a != r.selfAddr {
+			return a, true
+		}
+	}
+	var all []netip.AddrPort
+	for _, p := range r.named {
+		all = append(all, p.addr)
+	}
+	all = append(all, r.seeds...)
+	all = slices.DeleteFunc(all, func(a netip.AddrPort) bool { return a == r.selfAddr || !r.healthy(now, a) })
+	if len(all) == 0 {
+		return addr, false
+	}
+	slices.SortFunc(all, netip.AddrPort.Compare)
+	all = slices.Compact(all)
+	r.turn++
+	return all[r.turn%len(all)], true
+}
--- /dev/null
+++ b/internal/edge/report.go
@@ -0,0 +1,125 @@
+package edge
+
+import (
+	"strings"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"guavaloom.example/guavaloom/internal/eventlog"
+	"guavaloom.example/guavaloom/internal/forwarding"
+	"guavaloom.example/guavaloom/internal/logfield"
+	"guavaloom.example/guavaloom/internal/metric"
+	"guavaloom.example/guavaloom/internal/view"
+)
+
+// Classes of log lines, with their limits in lines a second. An instance at the
+// users' sizes places some 50 flows and forwards some 60 requests a second.
+var (
+	lifeClass    = &eventlog.Class{Name: "life", Limit: 50}
+	viewClass    = &eventlog.Class{Name: "view", Limit: 100}
+	targetClass  = &eventlog.Class{Name: "target", Limit: 50}
+	flowClass    = &eventlog.Class{Name: "flow", Limit: 200}
+	requestClass = &eventlog.Class{Name: "request", Limit: 200}
+)
+
+// decisionRecord is the log line of a decision on a packet.
+type decisionRecord struct {
+	flow     forwarding.FlowID
+	token    uint32
+	request  string
+	decision forwarding.Decision
+	config   uint64
+	// configAge and targetAge are the ages of the view; negative if the decision
+	// did not use it.
+	configAge, targetAge time.Duration
+}
+
+// Line implements eventlog.Record.
+func (r *decisionRecord) Line() (string, logrus.Fields) {
+	f := logrus.Fields{logfield.Flow: r.flow.String(), logfield.Verdict: r.decision.Verdict.String()}
+	if r.request != "" {
+		f[logfield.Request] = r.request
+	}
+	if t := r.decision.Target; t != nil {
+		f[logfield.Target], f[logfield.Service] = string(t.ID), string(t.Service)
+	}
+	if r.decision.Reason != "" {
+		f[logfield.Reason] = string(r.decision.Reason)
+	}
+	if r.decision.Route != nil {
+		f[logfield.Route] = r.decision.Route.Name
+	}
+	if r.configAge >= 0 {
+		f[logfield.Config], f[logfield.ConfigAge] = r.config, r.configAge.Milliseconds()
+	}
+	f[logfield.TargetAge] = r.targetAge.Milliseconds()
+	if load := r.decision.Load; load.Candidates > 0 {
+		f[logfield.Candidates], f[logfield.Open], f[logfield.Busy] = load.Candidates, load.Open, load.Busy
+		f[logfield.Latency] = load.Latency.Milliseconds()
+	}
+	if r.request != "" {
+		return "request", f
+	}
+	return "flow", f
+}
+
+// counters are the metrics of the packet path.
+type counters struct {
+	set      *metric.Set
+	outcomes map[outcome]metrics.Counter
+	flows    metrics.GaugeFloat64
+	opening  metrics.Histogram
+	answer   metrics.Histogram
+}
+
+type outcome struct {
+	verdict forwarding.Verdict
+	reason  forwarding.Reason
+}
+
+func newCounters(s *metric.Set) *counters {
+	return &counters{
+		set: s, outcomes: map[outcome]metrics.Counter{},
+		flows:   s.Gauge(metric.EdgeFlows, ""),
+		opening: s.Summary(metric.EdgeOpening, ""),
+		answer:  s.Summary(metric.EdgeAnswer, ""),
+	}
+}
+
+// count counts a decision. The caller holds Instance.mu or is the only one.
+func (c *counters) count(d forwarding.Decision) {
+	o := outcome{d.Verdict, d.Reason}
+	counter := c.outcomes[o]
+	if counter == nil {
+		label := strings.TrimSuffix(o.verdict.String()+":"+string(o.reason), ":")
+		counter = c.set.Counter(metric.EdgePackets, label)
+		c.outcomes[o] = counter
+	}
+	counter.Inc(1)
+}
+
+// observer passes what the forwarder sees on to log and metrics.
+type observer struct{ i *Instance }
+
+var _ forwarding.Observer = observer{}
+
+// Event implements forwarding.Observer.
+func (o observer) Event(_ time.Duration, e forwarding.Event) {
+	o.i.metrics.Counter(metric.EdgeSuspects, string(e.Kind)).Inc(1)
+	o.i.log.Event(targetClass, "target "+string(e.Kind), logrus.Fields{
+		logfield.Target: string(e.Target.ID), logfield.Service: string(e.Target.Service),
+		logfield.Zone: e.Target.Zone, logfield.Age: e.SilentFor.Milliseconds(),
+	})
+}
+
+// Opened implements forwarding.Observer.
+func (o observer) Opened(_ *view.Target, took time.Duration) {
+	o.i.counters.opening.Update(took.Microseconds())
+}
+
+// Answered implements forwarding.Observer.
+func (o observer) Answered(_ *view.Target, took time.Duration) {
+	o.i.counters.answer.Update(took.Microseconds())
+}
--- /dev/null
+++ b/internal/edge/stop.go
@@ -0,0 +1,90 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"os"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"guavaloom.example/guavaloom/internal/logfield"
+)
+
+const (
+	// leaveAfter is how long a stopping instance forwards at least: the routers take
+	// it out of rotation after two checks, half a second apart.
+	leaveAfter = 1500 * time.Millisecond
+	// quietFor is the silence after which a stopping instance ends.
+	quietFor = 500 * time.Millisecond
+	// stopLimit is the longest stop; the platform kills the process after 6 s.
+	stopLimit = 4500 * time.Millisecond
+	// settingsEvery is how often the settings file is looked at.
+	settingsEvery = 3 * time.Second
+)
+
+var netListenConfig net.ListenConfig
+
+// stop reports not ready and forwards until no more packets come.
+func (i *Instance) stop() {
+	began := i.now()
+	i.mu.Lock()
+	i.stopping = true
+	i.mu.Unlock()
+	i.log.Event(lifeClass, "stopping", nil)
+	for {
+		time.Sleep(quietFor / 5)
+		now := i.now()
+		i.mu.Lock()
+		quiet := now - i.lastPacket
+		i.mu.Unlock()
+		if now-began >= stopLimit || now-began >= leaveAfter && quiet >= quietFor {
+			i.log.Event(lifeClass, "stopped", logrus.Fields{logfield.Age: milliseconds(now - began)})
+			return
+		}
+	}
+}
+
+// watchSettings checks the settings file when it is signalled and now and then.
+// Addresses and names hold for the life of the process, so that a change of them
+// is logged and takes effect at the next start.
+func (i *Instance) watchSettings(ctx context.Context, file string, reload <-chan os.Signal) {
+	old, err := os.ReadFile(file)
+	if err != nil {
+		i.log.Event(lifeClass, "settings unreadable", logrus.Fields{logfield.File: file, logfield.Error: err.Error()})
+	}
+	t := time.NewTicker(settingsEvery)
+	defer t.Stop()
+	for {
+		signalled := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-reload:
+			signalled = true
+		case <-t.C:
+		}
+		data, err := os.ReadFile(file)
+		if err != nil {
+			i.log.Event(lifeClass, "settings unreadable", logrus.Fields{logfield.File: file, logfield.Error: err.Error()})
+			continue
+		}
+		if changed := !bytes.Equal(data, old); changed || signalled {
+			old = data
+			i.reload(file, data, changed)
+		}
+	}
+}
+
+func (i *Instance) reload(file string, data []byte, changed bool) {
+	fields := logrus.Fields{logfield.File: file, logfield.Change: changed}
+	s, err := parseSettings(file, data)
+	if err != nil {
+		fields[logfield.Error] = err.Error()
+		i.log.Event(lifeClass, "reload refused, the former settings hold", fields)
+		return
+	}
+	i.registry.setSeeds(s.Seeds)
+	i.log.Event(lifeClass, "reload", fields)
+}
--- /dev/null
+++ b/internal/forwarding/forwarder.go
@@ -0,0 +1,346 @@
+package forwarding
+
+import (
+	"time"
+
+	"guavaloom.example/guavaloom/internal/service"
+	"guavaloom.example/guavaloom/internal/target"
+	"guavaloom.example/guavaloom/internal/view"
+)
+
+const (
+	// freshEnough is the age up to which the configuration may be used to refuse a
+	// flow for want of a route: longer than a watch of the store lasts.
+	freshEnough = 3500 * time.Millisecond
+	// unknownGrace is how long a token may be unknown before its flow is reset. The
+	// entry of a target that has just started may be on its way.
+	unknownGrace = 2 * time.Second
+	// maxUnknown bounds the unknown tokens that are remembered.
+	maxUnknown = 1024
+)
+
+// Event is a change in what the forwarder believes of a target.
+type Event struct {
+	Target *view.Target
+	// Kind is "suspected" or "cleared".
+	Kind EventKind
+	// SilentFor is the time since the target's last sign of life, 0 if there was none.
+	SilentFor time.Duration
+}
+
+// EventKind is the kind of an Event.
+type EventKind string
+
+// Kinds of events.
+const (
+	Suspected EventKind = "suspected"
+	Cleared   EventKind = "cleared"
+)
+
+// Observer is told of what passes. Its methods must not block.
+type Observer interface {
+	Event(now time.Duration, e Event)
+	// Opened is told the time from a flow's first packet to the target's answer.
+	Opened(t *view.Target, took time.Duration)
+	// Answered is told the time from a request's last packet to the client's
+	// acknowledgement of its answer.
+	Answered(t *view.Target, took time.Duration)
+}
+
+// Forwarder decides on packets. It is not safe for concurrent use.
+type Forwarder struct {
+	View *view.View
+	// ConfigFreshAt and TargetsFreshAt are when the view's parts were last known to
+	// be the store's state.
+	ConfigFreshAt, TargetsFreshAt time.Duration
+
+	chooser  chooser
+	flows    *table
+	loads    map[target.ID]*load
+	services map[service.ID][]*load
+	observer Observer
+	unknown  map[uint32]time.Duration // first seen, by token
+	placed   uint64
+}
+
+// New returns a forwarder of an instance in a data centre.
+func New(zone string, o Observer) *Forwarder {
+	return &Forwarder{
+		View:     view.New(),
+		chooser:  chooser{zone: zone, parts: 1},
+		flows:    newTable(),
+		loads:    map[target.ID]*load{},
+		services: map[service.ID][]*load{},
+		observer: o,
+		unknown:  map[uint32]time.Duration{},
+	}
+}
+
+// SetInstances sets how many instances share the work of the data centre.
+func (f *Forwarder) SetInstances(n int) { f.chooser.parts = max(n, 1) }
+
+// Flows returns how many flows the table holds.
+func (f *Forwarder) Flows() int { return len(f.flows.flows) }
+
+// TargetsChanged adopts the view's set of targets. It must be called after a
+// target was added to the view or removed from it.
+func (f *Forwarder) TargetsChanged() {
+	clear(f.services)
+	known := make(map[target.ID]bool, len(f.loads))
+	f.View.Targets(func(t *view.Target) {
+		known[t.ID] = true
+		l := f.loads[t.ID]
+		if l == nil {
+			l = &load{}
+			f.loads[t.ID] = l
+		}
+		l.target = t
+		f.services[t.Service] = append(f.services[t.Service], l)
+	})
+	for id := range f.loads {
+		if !known[id] {
+			delete(f.loads, id)
+		}
+	}
+}
+
+// Handle decides on a packet that arrived at the time now.
+func (f *Forwarder) Handle(now time.Duration, s *Segment) Decision {
+	if s.SYN {
+		return f.first(now, s)
+	}
+	return f.later(now, s)
+}
+
+// first places the first packet of a flow, or a copy of it.
+func (f *Forwarder) first(now time.Duration, s *Segment) Decision {
+	if s.ACK {
+		return Decision{Reason: FromTarget}
+	}
+	if !f.View.Complete() {
+		return Decision{Reason: NotReady}
+	}
+	r := f.View.Route(s.Flow.Service)
+	if r == nil {
+		return f.noRoute(now)
+	}
+	state := f.flows.flows[s.Flow]
+	if state == nil {
+		return f.place(now, s, r, nil, Placed)
+	}
+	if state.opened || !f.silentSince(now, state) {
+		// The answer may be on its way, and a second target must not answer too.
+		if !f.View.Ended(now, state.load.target) {
+			state.seenAt = now
+			return f.to(state.load, r, Repeated, 0)
+		}
+	}
+	silent := state.load
+	f.flows.remove(s.Flow, state)
+	return f.place(now, s, r, silent, Moved)
+}
+
+func (f *Forwarder) noRoute(now time.Duration) Decision {
+	if now > f.ConfigFreshAt+freshEnough {
+		return Decision{Reason: RouteUnsure}
+	}
+	return Decision{Verdict: Reset, Reason: NoRoute}
+}
+
+// silentSince reports whether the target of an opening flow has shown no sign of
+// life since the flow's first packet was sent to it.
+func (f *Forwarder) silentSince(now time.Duration, state *flowState) bool {
+	if f.unanswered(now, state.load, state.openingAt) {
+		return true
+	}
+	return state.load.heardAt < state.openingAt
+}
+
+func (f *Forwarder) unanswered(now time.Duration, l *load, sentAt time.Duration) bool {
+	if !l.unanswered(now, sentAt) {
+		return false
+	}
+	e := Event{Target: l.target, Kind: Suspected}
+	if l.heardAt > 0 {
+		e.SilentFor = now - l.heardAt
+	}
+	f.observer.Event(now, e)
+	return true
+}
+
+// place chooses a target for a new flow.
+func (f *Forwarder) place(now time.Duration, s *Segment, r *view.Route, exclude *load, why Reason) Decision {
+	first := pickShare(r.Shares, s.Flow.Hash())
+	for n := range r.Shares {
+		share := r.Shares[(first+n)%len(r.Shares)]
+		l, candidates := f.chooser.choose(now, f.View, f.services[share.Service], r.Kind, exclude)
+		if l == nil {
+			continue
+		}
+		if state := f.flows.add(s.Flow, l, now); state != nil {
+			state.openingAt = now
+			l.opening++
+		}
+		f.placed++
+		l.placedAt = f.placed
+		return f.to(l, r, why, candidates)
+	}
+	return Decision{Verdict: Reset, Reason: NoTarget, Route: r}
+}
+
+func (f *Forwarder) to(l *load, r *view.Route, why Reason, candidates int) Decision {
+	return Decision{Verdict: Forward, Reason: why, Target: l.target, Token: l.target.Token, Route: r, Load: l.report(candidates)}
+}
+
+// later forwards a packet within a flow by its token.
+func (f *Forwarder) later(now time.Duration, s *Segment) Decision {
+	if s.Token == 0 {
+		return Decision{Reason: NoToken}
+	}
+	t := f.View.ByToken(s.Token)
+	if t == nil {
+		return f.unknownToken(now, s)
+	}
+	if f.View.Ended(now, t) {
+		return f.endFlow(s, t)
+	}
+	f.observe(now, s, f.loads[t.ID])
+	return Decision{Verdict: Forward, Target: t}
+}
+
+// endFlow resets a flow whose target has ended, so that the client can try again.
+func (f *Forwarder) endFlow(s *Segment, t *view.Target) Decision {
+	if state := f.flows.flows[s.Flow]; state != nil {
+		f.flows.remove(s.Flow, state)
+	}
+	d := Decision{Verdict: Reset, Reason: TargetEnded, Target: t, Seq: s.Ack}
+	if s.RST {
+		d.Verdict = Drop
+	}
+	return d
+}
+
+// unknownToken drops a packet whose token names no known target. Once the view had
+// time to learn of a new target, the target must have ended.
+func (f *Forwarder) unknownToken(now time.Duration, s *Segment) Decision {
+	d := Decision{Reason: UnknownTarget}
+	if s.RST {
+		return d
+	}
+	since, seen := f.unknown[s.Token]
+	switch {
+	case !seen && len(f.unknown) < maxUnknown:
+		f.unknown[s.Token] = now
+	case seen && now >= since+unknownGrace && f.TargetsFreshAt >= since+unknownGrace/2:
+		d.Verdict, d.Seq = Reset, s.Ack
+	}
+	return d
+}
+
+// observe updates what is known of the flow and its target.
+func (f *Forwarder) observe(now time.Duration, s *Segment, l *load) {
+	state := f.flows.flows[s.Flow]
+	if state == nil {
+		if len(s.Data) == 0 || s.RST {
+			return
+		}
+		if state = f.flows.add(s.Flow, l, now); state == nil {
+			return
+		}
+		l.opening++
+		state.open(l)
+		state.nextSeq, state.ack = s.Seq, s.Ack
+	}
+	state.seenAt = now
+	if !state.opened {
+		f.opened(now, s, state, l)
+	}
+	if after(s.Ack, state.ack) {
+		f.acknowledged(now, s, state)
+	}
+	if len(s.Data) > 0 {
+		f.data(now, s, state)
+	}
+	if s.FIN || s.RST {
+		f.flows.remove(s.Flow, state)
+	}
+}
+
+// opened records the packet with which the client answers its target.
+func (f *Forwarder) opened(now time.Duration, s *Segment, state *flowState, l *load) {
+	if state.load == l {
+		f.observer.Opened(l.target, now-state.openingAt)
+	}
+	state.open(l)
+	state.nextSeq, state.ack = s.Seq, s.Ack
+	f.heard(now, l)
+}
+
+func (f *Forwarder) heard(now time.Duration, l *load) {
+	silentFor := now - l.heardAt
+	if l.heard(now) {
+		f.observer.Event(now, Event{Target: l.target, Kind: Cleared, SilentFor: silentFor})
+	}
+}
+
+// acknowledged records that the client received more of the target's answer.
+func (f *Forwarder) acknowledged(now time.Duration, s *Segment, state *flowState) {
+	state.ack = s.Ack
+	f.heard(now, state.load)
+	if state.busy {
+		took := now - state.dataAt
+		state.load.answered(took)
+		f.observer.Answered(state.load.target, took)
+		state.setBusy(false)
+	}
+}
+
+// data records a packet with data: a new part of a request or a repetition.
+func (f *Forwarder) data(now time.Duration, s *Segment, state *flowState) {
+	end := s.Seq + uint32(len(s.Data))
+	if !after(end, state.nextSeq) {
+		f.unanswered(now, state.load, state.dataAt)
+		return
+	}
+	if !state.busy {
+		state.requestSeq = s.Seq
+		state.setBusy(true)
+	}
+	if end-state.requestSeq > window {
+		f.heard(now, state.load) // the target has acknowledged what went before
+	}
+	state.nextSeq, state.dataAt = end, now
+}
+
+// ResetFlow is a flow that has to be reset.
+type ResetFlow struct {
+	Flow   FlowID
+	Seq    uint32
+	Target *view.Target
+}
+
+// Tick forgets old flows and targets and returns the open flows whose target has
+// ended: their clients wait for an answer that can't come.
+func (f *Forwarder) Tick(now time.Duration) []ResetFlow {
+	idle := f.View.Config().IdleTimeout
+	if idle <= 0 {
+		idle = defaultIdleTimeout
+	}
+	f.flows.sweep(now, idle)
+	var out []ResetFlow
+	for id, state := range f.flows.flows {
+		if f.View.Ended(now, state.load.target) && state.opened {
+			out = append(out, ResetFlow{id, state.ack, state.load.target})
+			f.flows.remove(id, state)
+		}
+	}
+	if f.View.Forget(now) {
+		f.TargetsChanged()
+	}
+	for token, since := range f.unknown {
+		if now >= since+defaultIdleTimeout {
+			delete(f.unknown, token)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/forwarding/load.go
@@ -0,0 +1,103 @@
+package forwarding
+
+import (
+	"time"
+
+	"guavaloom.example/guavaloom/internal/view"
+)
+
+const (
+	// firstAvoid and maxAvoid bound how long a silent target gets no new flows
+	// before one is tried again. The pause doubles with each trial that fails.
+	firstAvoid = time.Second
+	maxAvoid   = 4 * time.Second
+	// idleFlow is the load of an open flow without a request in flight, in slots: a
+	// long flow sends about one request a second that takes some 40 ms.
+	idleFlow = 0.05
+	// coldFactor is how much more a request costs on a target that is warming up.
+	coldFactor = 1.6
+	// latencyWeight is the weight of a new sample in the mean latency.
+	latencyWeight = 0.2
+)
+
+// load is what this instance has seen of a target.
+type load struct {
+	target *view.Target
+	// opening, open and busy count flows: first packets without an answer, open
+	// ones, and open ones with a request that has not been answered.
+	opening, open, busy int
+	// heardAt is when the target last showed a sign of life.
+	heardAt time.Duration
+	// placedAt orders targets by their last new flow.
+	placedAt uint64
+	// avoidUntil is the end of the pause for new flows; silent tells whether the
+	// target has shown no sign of life since the pause began.
+	avoidUntil time.Duration
+	avoidFor   time.Duration
+	silent     bool
+	// latency is the mean time from the last packet of a request to the
+	// acknowledgement of its answer; 0 if there is no sample.
+	latency time.Duration
+}
+
+// heard records a sign of life and reports whether it ended a suspicion.
+func (l *load) heard(now time.Duration) (cleared bool) {
+	cleared = l.silent
+	l.heardAt, l.silent, l.avoidFor, l.avoidUntil = now, false, 0, 0
+	return cleared
+}
+
+// unanswered records that a packet sent at the given time had no effect until the
+// client repeated it. It reports whether the target is newly suspected: it has
+// shown no sign of life on any flow since.
+func (l *load) unanswered(now, sentAt time.Duration) (suspected bool) {
+	if l.heardAt >= sentAt && l.heardAt > 0 {
+		return false // the packet or its answer was lost
+	}
+	if now < l.avoidUntil {
+		return false
+	}
+	suspected = !l.silent
+	l.silent = true
+	l.avoidFor = min(max(2*l.avoidFor, firstAvoid), maxAvoid)
+	l.avoidUntil = now + l.avoidFor
+	return suspected
+}
+
+// suspect reports whether the target should get no new flow now: it is silent, and
+// neither is a trial due nor is none under way.
+func (l *load) suspect(now time.Duration) bool {
+	return l.silent && (now < l.avoidUntil || l.opening > 0)
+}
+
+// answered records the latency of a request.
+func (l *load) answered(latency time.Duration) {
+	if l.latency == 0 {
+		l.latency = latency
+		return
+	}
+	l.latency += time.Duration(latencyWeight * float64(latency-l.latency))
+}
+
+// slots returns the estimated part of the target's slots that is in use, where
+// this instance sees one of so many equal parts of the target's work.
+func (l *load) slots(now time.Duration, parts int) float64 {
+	work := float64(l.busy+l.opening) + idleFlow*float64(max(l.open-l.busy, 0))
+	work *= float64(parts) / float64(l.target.Slots)
+	if now < l.target.WarmAt {
+		work = work*coldFactor + coldFactor - 1
+	}
+	return work
+}
+
+// LoadReport is the part of a target's load that a decision was based on.
+type LoadReport struct {
+	Open, Busy int
+	Latency    time.Duration
+	// Candidates is how many targets could have been chosen.
+	Candidates int
+}
+
+func (l *load) report(candidates int) LoadReport {
+	return LoadReport{Open: l.open, Busy: l.busy, Latency: l.latency, Candidates: candidates}
+}
--- /dev/null
+++ b/internal/forwarding/segment.go
@@ -0,0 +1,123 @@
+package forwarding
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"guavaloom.example/guavaloom/internal/view"
+)
+
+// FlowID names a flow by the address and port of its two ends.
+type FlowID struct {
+	Client, Service view.Endpoint
+}
+
+// Hash returns a hash of the flow that all instances compute alike.
+func (f FlowID) Hash() uint64 {
+	var b [12]byte
+	copy(b[0:], f.Client.Addr[:])
+	copy(b[4:], f.Service.Addr[:])
+	b[8], b[9] = byte(f.Client.Port>>8), byte(f.Client.Port)
+	b[10], b[11] = byte(f.Service.Port>>8), byte(f.Service.Port)
+	return xxhash.Sum64(b[:])
+}
+
+// String returns "client>service".
+func (f FlowID) String() string { return f.Client.String() + ">" + f.Service.String() }
+
+// Segment is the decoded header of a client's packet, and its data.
+type Segment struct {
+	Flow               FlowID
+	SYN, ACK, FIN, RST bool
+	// Seq numbers the first byte of the data. Ack is the next byte that the client
+	// expects; on a SYN it counts the copies sent before.
+	Seq, Ack uint32
+	// Token is the value that was written into the flow's first packet; 0 is none.
+	Token uint32
+	Data  []byte
+}
+
+// Codec reads and writes the packets of a platform. Buffers of PutKey and PutReset
+// hold at least MaxHeader bytes.
+type Codec interface {
+	Decode(b []byte) (s Segment, ok bool)
+	SetToken(b []byte, token uint32)
+	PutKey(b []byte, key uint64) []byte
+	PutReset(b []byte, flow FlowID, seq uint32) []byte
+}
+
+// MaxHeader is the size in bytes of a buffer for PutKey and PutReset.
+const MaxHeader = 64
+
+// Verdict is what happens to a packet.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// Drop sends nothing.
+	Drop Verdict = iota
+	// Forward sends the packet to the target.
+	Forward
+	// Reset ends the flow at the client, which may then try again.
+	Reset
+)
+
+// String returns the verdict's name in lower case.
+func (v Verdict) String() string {
+	switch v {
+	case Drop:
+		return "drop"
+	case Forward:
+		return "forward"
+	case Reset:
+		return "reset"
+	}
+	return "unknown"
+}
+
+// Reason tells why a packet was not simply forwarded by its token.
+type Reason string
+
+// Reasons of decisions.
+const (
+	// Placed: the first packet of a flow was given a target.
+	Placed Reason = "placed"
+	// Repeated: a copy of the first packet went to the same target again.
+	Repeated Reason = "repeated"
+	// Moved: a copy of the first packet went to another target, since the first one
+	// was silent.
+	Moved Reason = "moved"
+	// NoRoute: the endpoint has no route.
+	NoRoute Reason = "no_route"
+	// RouteUnsure: the endpoint has no route in a configuration that may be old.
+	RouteUnsure Reason = "route_unsure"
+	// NoTarget: the route's services have no target that takes new flows.
+	NoTarget Reason = "no_target"
+	// NotReady: configuration or targets have not been learned yet.
+	NotReady Reason = "not_ready"
+	// TargetEnded: the flow's target has ended.
+	TargetEnded Reason = "target_ended"
+	// UnknownTarget: the token names no target that this instance knows.
+	UnknownTarget Reason = "unknown_target"
+	// NoToken: a packet within a flow carries no token.
+	NoToken Reason = "no_token"
+	// FromTarget: the packet has the form of a target's.
+	FromTarget Reason = "from_target"
+	// Malformed: the header can't be read.
+	Malformed Reason = "malformed"
+)
+
+// Decision is the outcome for one packet.
+type Decision struct {
+	Verdict Verdict
+	// Reason is empty for a packet that was forwarded by its token.
+	Reason Reason
+	Target *view.Target
+	// Token is to be written into the packet unless it is 0.
+	Token uint32
+	// Seq is the number of a reset.
+	Seq uint32
+	// Route is that of a first packet, if any.
+	Route *view.Route
+	// Load is what the choice of the target was based on.
+	Load LoadReport
+}
--- a/internal/metric/names.go
+++ b/internal/metric/names.go
@@ -28,3 +28,17 @@
 	HealthReports  = Declaration{"guavaloom_health_problems_total", "events", "Probes that were left out and reports that could not be read, by reason.", Counter, "reason"}
 	RolloutReports = Declaration{"guavaloom_rollout_reports_total", "reports", "Unusual events of the rollout of bundles, by reason.", Counter, "reason"}
 )
+
+// Metrics of an instance that steers by tokens.
+var (
+	EdgePackets    = Declaration{"guavaloom_edge_packets_total", "packets", "Clients' packets, by verdict (forward, reset or drop) and reason.", Counter, "outcome"}
+	EdgeSuspects   = Declaration{"guavaloom_edge_suspects_total", "events", "Targets suspected and cleared.", Counter, "event"}
+	EdgeOpening    = Declaration{"guavaloom_edge_opening_ms", "milliseconds", "Time from a flow's first packet to the client's answer to its target.", Summary, ""}
+	EdgeAnswer     = Declaration{"guavaloom_edge_answer_ms", "milliseconds", "Time from the last packet of a request to the acknowledgement of its answer.", Summary, ""}
+	EdgeFlows      = Declaration{"guavaloom_edge_flows", "flows", "Flows that the instance has seen and not seen end.", Gauge, ""}
+	EdgeReads      = Declaration{"guavaloom_edge_reads_total", "calls", "Calls for the replica of the store, by source and result.", Counter, "result"}
+	EdgeReadTime   = Declaration{"guavaloom_edge_read_ms", "milliseconds", "Duration of lists, by source (store or peer).", Summary, "source"}
+	EdgeViewAge    = Declaration{"guavaloom_edge_view_age_ms", "milliseconds", "Time since the replica of a kind was known to be the store's state.", Gauge, "kind"}
+	EdgeChanges    = Declaration{"guavaloom_edge_view_changes_total", "changes", "Changes of the view, by kind.", Counter, "change"}
+	EdgeUnreadable = Declaration{"guavaloom_edge_unreadable_total", "entries", "Entries of the store that could not be read, by kind.", Counter, "kind"}
+)
--- a/internal/packet/receiver.go
+++ b/internal/packet/receiver.go
@@ -143,3 +143,14 @@
 	}
 	return nil
 }
+
+// WriteTo sends one datagram outside a handler.
+func (r *Receiver) WriteTo(b []byte, to netip.AddrPort) error {
+	_, err := r.conns[0].WriteToUDPAddrPort(b, to)
+	if err != nil {
+		r.stats.SendErrors.Add(1)
+		return err
+	}
+	r.stats.Sent.Add(1)
+	return nil
+}
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -28,6 +28,11 @@
 type Listing struct {
 	Version Version  `json:"version"`
 	Objects []Object `json:"objects"`
+	// Age is how old the state may be when a replica answers in place of the store.
+	Age time.Duration `json:"age,omitempty"`
+	// Outage tells that the replica could not reach the store recently, so that a
+	// removed object may have expired only because its owner could not renew it.
+	Outage bool `json:"outage,omitempty"`
 }
 
 // Instance is an entry of the platform's list of instances, which lags behind.
--- /dev/null
+++ b/internal/replica/plan.go
@@ -0,0 +1,92 @@
+package replica
+
+import (
+	"math/rand"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"guavaloom.example/guavaloom/internal/platform"
+)
+
+const (
+	// firstPause and maxPause bound the pause after a failed call; it doubles with
+	// each failure and is multiplied by a random factor of 0.5 to 1.5.
+	firstPause = 50 * time.Millisecond
+	maxPause   = time.Second
+	// coalescePause lets changes that come together be told in one answer, since
+	// the platform charges each call. It is a small part of the seconds within
+	// which changes have to be in force.
+	coalescePause = 150 * time.Millisecond
+)
+
+// Plan decides the next call to a source of one kind: a list, then watches from
+// the listed version, and a list again after any failure, because a source that
+// failed may have lost history that it does not report as lost.
+type Plan struct {
+	// Wait is how long a watch may wait for a change.
+	Wait time.Duration
+	// Coalesce is the pause after an answer with changes.
+	Coalesce time.Duration
+	Rand     *rand.Rand
+
+	listed bool
+	// cursor is the version to watch from. Without events it stays one answer
+	// behind the version that the source reports, so that changes which a silent
+	// watch left out are asked for again.
+	cursor, reported platform.Version
+	failures         int
+}
+
+// NewPlan returns the plan for a source.
+func NewPlan(wait time.Duration, r *rand.Rand) *Plan {
+	return &Plan{Wait: wait, Coalesce: coalescePause, Rand: r}
+}
+
+// Next returns the next call of the kind.
+func (p *Plan) Next(kind string) platform.Call {
+	if !p.listed {
+		return platform.Call{Op: platform.OpList, Key: kind}
+	}
+	return platform.Call{Op: platform.OpWatch, Key: kind, Version: p.cursor, Wait: p.Wait}
+}
+
+// Done takes the outcome of the call and returns how long to pause. It lowers the
+// version of an answer without events to the one up to which nothing can be missing.
+func (p *Plan) Done(r *platform.Result) time.Duration {
+	switch {
+	case errors.Is(r.Err, platform.ErrExpired):
+		p.listed = false
+		return 0
+	case r.Err != nil:
+		p.listed = false
+		p.failures++
+		return p.backoff()
+	}
+	p.failures = 0
+	if r.Call.Op == platform.OpList {
+		p.listed = true
+		p.cursor, p.reported = r.Listing.Version, r.Listing.Version
+		return 0
+	}
+	if len(r.Listing.Objects) > 0 {
+		p.cursor = max(p.cursor, r.Listing.Version)
+		p.reported = p.cursor
+		return p.Coalesce
+	}
+	p.cursor, p.reported = p.reported, max(p.reported, r.Listing.Version)
+	r.Listing.Version = p.cursor
+	return 0
+}
+
+// Failing reports whether the last call failed.
+func (p *Plan) Failing() bool { return p.failures > 0 }
+
+func (p *Plan) backoff() time.Duration {
+	pause := firstPause << min(p.failures-1, 10)
+	pause = min(pause, maxPause)
+	return time.Duration(float64(pause) * (0.5 + p.Rand.Float64()))
+}
+
+// Restart makes the next call a list, for a source that has changed.
+func (p *Plan) Restart() { p.listed = false }
--- /dev/null
+++ b/internal/view/types.go
@@ -0,0 +1,129 @@
+package view
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"guavaloom.example/guavaloom/internal/service"
+	"guavaloom.example/guavaloom/internal/target"
+)
+
+// Kind tells what callers may do with a request of a route and how large it is.
+type Kind uint8
+
+// Kinds of routes.
+const (
+	// Idempotent requests are small and may run more than once.
+	Idempotent Kind = iota
+	// Once requests are small and must not run twice.
+	Once
+	// Upload requests are large and must not run twice.
+	Upload
+)
+
+// String returns the kind's name in lower case.
+func (k Kind) String() string {
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case Once:
+		return "once"
+	case Upload:
+		return "upload"
+	}
+	return "unknown"
+}
+
+// Endpoint is an IPv4 address with a port. It holds no pointers, so that large
+// tables keyed by it cost the garbage collector nothing.
+type Endpoint struct {
+	Addr [4]byte
+	Port uint16
+}
+
+// EndpointOf converts an IPv4 address; ok is false for other families.
+func EndpointOf(a netip.AddrPort) (e Endpoint, ok bool) {
+	if !a.Addr().Unmap().Is4() {
+		return Endpoint{}, false
+	}
+	return Endpoint{a.Addr().Unmap().As4(), a.Port()}, true
+}
+
+// AddrPort returns the endpoint in the standard library's form.
+func (e Endpoint) AddrPort() netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4(e.Addr), e.Port)
+}
+
+// String returns "IP:PORT".
+func (e Endpoint) String() string { return e.AddrPort().String() }
+
+// Share is a service's part of a route's new flows.
+type Share struct {
+	Service service.ID
+	Weight  int
+}
+
+// Route says where new flows to an endpoint go.
+type Route struct {
+	Name     string
+	Endpoint Endpoint
+	Shares   []Share // at least one, with a positive sum of weights
+	Kind     Kind
+	// Objective is the latency that callers expect, Deadline when they give up.
+	Objective, Deadline time.Duration
+	// Priority of the route's requests; 0 is the most urgent.
+	Priority int
+}
+
+// Config is one version of the configuration.
+type Config struct {
+	Version uint64
+	Routes  []Route
+	// IdleTimeout is the silence after which a flow may be forgotten; 0 if not given.
+	IdleTimeout time.Duration
+}
+
+// TargetEntry is what a target tells of itself.
+type TargetEntry struct {
+	ID target.ID
+	// Key identifies the target in the header of packets sent to it, so that a
+	// target that took over an address ignores packets meant for the former one.
+	Key     uint64
+	Service service.ID
+	Addr    netip.AddrPort
+	Zone    string
+	// Slots is how many requests the target runs at once.
+	Slots    int
+	Draining bool
+	// WarmUp is how much longer the target stays slow after its start.
+	WarmUp time.Duration
+	// Incarnation is the start of the target's process in Unix milliseconds; a
+	// restart under the same ID has another one. 0 if not given.
+	Incarnation int64
+}
+
+// Target is a target as the view knows it.
+type Target struct {
+	TargetEntry
+	// Token names the target in the packets of its flows.
+	Token uint32
+	// Shadowed marks a target whose token belongs to another one.
+	Shadowed bool
+	// Version is the store's version of the entry.
+	Version uint64
+	// WarmAt is when the target has reached its full speed.
+	WarmAt time.Duration
+	// Unreadable marks a target whose present entry can't be read. It takes no
+	// new flows and keeps those that it has.
+	Unreadable bool
+	// MissingSince is when the entry was found removed; Missing tells whether it is.
+	Missing      bool
+	MissingSince time.Duration
+	// Lapsed marks a missing entry that may have expired only because the store
+	// was away; the target may still live.
+	Lapsed bool
+}
+
+// String names the target and its service for logs.
+func (t *Target) String() string { return fmt.Sprintf("%s/%s", t.Service, t.ID) }
--- /dev/null
+++ b/internal/view/view.go
@@ -0,0 +1,218 @@
+package view
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"guavaloom.example/guavaloom/internal/service"
+	"guavaloom.example/guavaloom/internal/target"
+)
+
+const (
+	// lapseGrace is how long an entry that lapsed during an outage of the store
+	// may take to come back. The users state about two seconds after the store's
+	// return; the rest is for the way through the store and the peers.
+	lapseGrace = 3 * time.Second
+	// forgetAfter is how long a removed target stays known. It exceeds the
+	// longest life of a flow that the users state (60 s).
+	forgetAfter = 90 * time.Second
+)
+
+// View is an instance's belief. It is not safe for concurrent use.
+type View struct {
+	config   Config
+	routes   map[Endpoint]*Route
+	haveList bool // the targets have been listed at least once
+
+	targets  map[target.ID]*Target
+	tokens   map[uint32]*Target
+	services map[service.ID][]*Target
+}
+
+// New returns a view that knows nothing.
+func New() *View {
+	return &View{
+		routes:   map[Endpoint]*Route{},
+		targets:  map[target.ID]*Target{},
+		tokens:   map[uint32]*Target{},
+		services: map[service.ID][]*Target{},
+	}
+}
+
+// Config returns the configuration; Version is 0 when there is none.
+func (v *View) Config() *Config { return &v.config }
+
+// SetConfig adopts a configuration. It returns false for one that is not newer.
+func (v *View) SetConfig(c Config) bool {
+	if c.Version <= v.config.Version {
+		return false
+	}
+	v.config = c
+	v.routes = make(map[Endpoint]*Route, len(c.Routes))
+	for i := range c.Routes {
+		v.routes[c.Routes[i].Endpoint] = &c.Routes[i]
+	}
+	return true
+}
+
+// Route returns the route of an endpoint, or nil.
+func (v *View) Route(e Endpoint) *Route { return v.routes[e] }
+
+// Complete reports whether configuration and targets have been learned.
+func (v *View) Complete() bool { return v.config.Version > 0 && v.haveList }
+
+// MarkListed records that all entries that exist have been passed to Put.
+func (v *View) MarkListed() { v.haveList = true }
+
+// Change tells what an input did to a target, for the log.
+type Change string
+
+// Changes of a target.
+const (
+	Unchanged  Change = ""
+	Joined     Change = "joined"
+	Updated    Change = "updated"
+	Drained    Change = "draining"
+	Restarted  Change = "restarted"
+	Returned   Change = "returned"
+	Removed    Change = "removed"
+	LapsedOut  Change = "lapsed"
+	Unreadable Change = "unreadable"
+)
+
+// Put adopts an entry of a target at a version of the store.
+func (v *View) Put(now time.Duration, e TargetEntry, version uint64) (*Target, Change) {
+	t := v.targets[e.ID]
+	if t != nil && version <= t.Version {
+		return t, Unchanged
+	}
+	change := Updated
+	switch {
+	case t == nil:
+		change = Joined
+		t = &Target{TargetEntry: e}
+		v.targets[e.ID] = t
+		v.claimToken(t)
+	case t.Incarnation != e.Incarnation:
+		change = Restarted
+	case t.Missing:
+		change = Returned
+	case e.Draining && !t.Draining:
+		change = Drained
+	}
+	t.TargetEntry, t.Version = e, version
+	t.WarmAt = now + e.WarmUp
+	t.Unreadable, t.Missing, t.Lapsed = false, false, false
+	v.index()
+	return t, change
+}
+
+// PutUnreadable records that the entry of a target can't be read.
+func (v *View) PutUnreadable(id target.ID, version uint64) Change {
+	t := v.targets[id]
+	if t == nil || version <= t.Version {
+		return Unchanged
+	}
+	t.Version, t.Unreadable = version, true
+	return Unreadable
+}
+
+// Remove records that the entry of a target has gone. With lapsed, it may have
+// gone only because the store was away.
+func (v *View) Remove(now time.Duration, id target.ID, version uint64, lapsed bool) (*Target, Change) {
+	t := v.targets[id]
+	if t == nil || t.Missing || version < t.Version {
+		return t, Unchanged
+	}
+	// Entries of a target that drains are removed because it left.
+	t.Missing, t.MissingSince, t.Lapsed = true, now, lapsed && !t.Draining
+	t.Version = version
+	if t.Lapsed {
+		return t, LapsedOut
+	}
+	return t, Removed
+}
+
+// Target returns a target by its ID, or nil.
+func (v *View) Target(id target.ID) *Target { return v.targets[id] }
+
+// ByToken returns the target that a token names, or nil.
+func (v *View) ByToken(token uint32) *Target { return v.tokens[token] }
+
+// Service returns the known targets of a service, missing ones included.
+func (v *View) Service(id service.ID) []*Target { return v.services[id] }
+
+// Targets calls f for every known target.
+func (v *View) Targets(f func(*Target)) {
+	for _, t := range v.targets {
+		f(t)
+	}
+}
+
+// TakesFlows reports whether a target may be given new flows.
+func (v *View) TakesFlows(now time.Duration, t *Target) bool {
+	return !t.Draining && !t.Unreadable && !t.Shadowed && (!t.Missing || v.mayReturn(now, t))
+}
+
+// mayReturn reports whether a lapsed entry may still come back.
+func (v *View) mayReturn(now time.Duration, t *Target) bool {
+	return t.Lapsed && now < t.MissingSince+lapseGrace
+}
+
+// Ended reports whether a target is known for certain to have ended.
+func (v *View) Ended(now time.Duration, t *Target) bool {
+	return t.Missing && !v.mayReturn(now, t)
+}
+
+// Forget drops targets that ended so long ago that no flow of theirs can be open,
+// and reports whether there were any.
+func (v *View) Forget(now time.Duration) (dropped bool) {
+	for id, t := range v.targets {
+		if t.Missing && now >= t.MissingSince+forgetAfter {
+			delete(v.targets, id)
+			if v.tokens[t.Token] == t {
+				delete(v.tokens, t.Token)
+			}
+			dropped = true
+		}
+	}
+	if dropped {
+		v.index()
+	}
+	return dropped
+}
+
+// index rebuilds the lists by service.
+func (v *View) index() {
+	clear(v.services)
+	for _, t := range v.targets {
+		v.services[t.Service] = append(v.services[t.Service], t)
+	}
+}
+
+// TokenOf returns the token of a target. All instances compute the same value.
+func TokenOf(id target.ID) uint32 {
+	h := xxhash.Sum64String(string(id))
+	token := uint32(h ^ h>>32)
+	if token == 0 {
+		return 1 // 0 marks a packet without a token
+	}
+	return token
+}
+
+// claimToken gives a new target its token. Where two targets share one, the one
+// with the smaller ID holds it and the other takes no new flows, on all instances.
+func (v *View) claimToken(t *Target) {
+	t.Token = TokenOf(t.ID)
+	holder := v.tokens[t.Token]
+	switch {
+	case holder == nil:
+	case holder.ID < t.ID:
+		t.Shadowed = true
+		return
+	default:
+		holder.Shadowed = true
+	}
+	v.tokens[t.Token] = t
+}
