Read the store in one place a data centre and hold early packets

A client's repetition of old data while it still sent new data counted as silence of its target, so that proofing targets were suspected in bursts.

Change: one reader a data centre from three data centres on, changes coalesced over 500 ms, a starting instance asks others for 25 ms only, packets before the first list are held (512 at most) and decided after it, repeated data counts only 200 ms after the newest data.

--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -72,7 +72,9 @@
 	forward *forwarding.Forwarder
 	// lastPacket is when a packet arrived last.
 	lastPacket time.Duration
-	stopping   bool
+	// held are packets that came before the view was complete.
+	held     [][]byte
+	stopping bool
 }
 
 // New returns an instance that logs to out.
--- a/internal/edge/packets.go
+++ b/internal/edge/packets.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"net/netip"
 	"time"
 
@@ -21,23 +22,62 @@
 		i.lastPacket = now
 	}
 	for _, d := range b.In {
-		seg, ok := i.platform.Codec.Decode(d.Data)
-		if !ok {
-			i.counters.count(forwarding.Decision{Reason: forwarding.Malformed})
-			continue
+		i.handlePacket(now, d.Data, func(to netip.AddrPort, header, body []byte) { b.Send(to, header, body) }, header[:])
+	}
+}
+
+// maxHeld bounds the packets that are held until the view is complete. They take
+// less than 1 MB.
+const maxHeld = 512
+
+// handlePacket decides on one packet. header is a buffer of MaxHeader bytes.
+func (i *Instance) handlePacket(now time.Duration, data []byte, send func(to netip.AddrPort, header, body []byte), header []byte) {
+	seg, ok := i.platform.Codec.Decode(data)
+	if !ok {
+		i.counters.count(forwarding.Decision{Reason: forwarding.Malformed})
+		return
+	}
+	decision := i.forward.Handle(now, &seg)
+	if decision.Verdict == forwarding.Hold {
+		if len(i.held) < maxHeld {
+			i.held = append(i.held, bytes.Clone(data))
+		} else {
+			decision.Verdict = forwarding.Drop
 		}
-		decision := i.forward.Handle(now, &seg)
-		i.counters.count(decision)
-		i.record(now, &seg, &decision)
-		switch decision.Verdict {
-		case forwarding.Forward:
-			if decision.Token != 0 {
-				i.platform.Codec.SetToken(d.Data, decision.Token)
-			}
-			b.Send(decision.Target.Addr, i.platform.Codec.PutKey(header[:], decision.Target.Key), d.Data)
-		case forwarding.Reset:
-			b.Send(i.clientAddr(seg.Flow), i.platform.Codec.PutReset(header[:], seg.Flow, decision.Seq), nil)
+	}
+	i.counters.count(decision)
+	i.record(now, &seg, &decision)
+	switch decision.Verdict {
+	case forwarding.Forward:
+		if decision.Token != 0 {
+			i.platform.Codec.SetToken(data, decision.Token)
 		}
+		send(decision.Target.Addr, i.platform.Codec.PutKey(header, decision.Target.Key), data)
+	case forwarding.Reset:
+		send(i.clientAddr(seg.Flow), i.platform.Codec.PutReset(header, seg.Flow, decision.Seq), nil)
+	}
+}
+
+// releaseHeld decides on the held packets once the view is complete.
+func (i *Instance) releaseHeld(now time.Duration) {
+	if len(i.held) == 0 || !i.forward.View.Complete() {
+		return
+	}
+	var header [forwarding.MaxHeader]byte
+	var out []byte
+	for _, data := range i.held {
+		i.handlePacket(now, data, func(to netip.AddrPort, header, body []byte) {
+			out = append(append(out[:0], header...), body...)
+			i.write(out, to)
+		}, header[:])
+	}
+	i.held = nil
+}
+
+// write sends one datagram outside a batch.
+func (i *Instance) write(b []byte, to netip.AddrPort) {
+	if err := i.packets.WriteTo(b, to); err != nil {
+		i.log.Event(flowClass, "packet not sent", logrus.Fields{logfield.Address: to.String(), logfield.Error: err.Error()})
 	}
 }
 
@@ -53,10 +93,7 @@
 	d := forwarding.Decision{Verdict: forwarding.Reset, Reason: forwarding.TargetEnded, Target: r.Target}
 	i.counters.count(d)
 	i.log.Add(flowClass, &decisionRecord{flow: r.Flow, decision: d, configAge: -1})
-	err := i.packets.WriteTo(i.platform.Codec.PutReset(header[:], r.Flow, r.Seq), i.clientAddr(r.Flow))
-	if err != nil {
-		i.log.Event(flowClass, "reset not sent", logrus.Fields{logfield.Flow: r.Flow.String(), logfield.Error: err.Error()})
-	}
+	i.write(i.platform.Codec.PutReset(header[:], r.Flow, r.Seq), i.clientAddr(r.Flow))
 }
 
 // record logs what a packet's decision rests on, for first packets, resets and
--- a/internal/edge/reading.go
+++ b/internal/edge/reading.go
@@ -19,9 +19,10 @@
 )
 
 const (
-	// storeWait is how long a watch of the store waits. A store that has gone
-	// silent is noticed soon after, well before changes have to be in force (3 s).
-	storeWait = 2500 * time.Millisecond
+	// storeWait is how long a watch of the store waits. With the slack of a watch
+	// it stays below the 4 s for which an instance must have been undisturbed to be
+	// bound by the time limits of changes.
+	storeWait = 3200 * time.Millisecond
 	// instanceWait is the same for the list of instances, which may be old.
 	instanceWait = 20 * time.Second
 	// peerWait is how long a watch of another instance waits.
@@ -33,8 +34,17 @@
 	// store asks other instances too.
 	askPeersAfter = 1200 * time.Millisecond
 	// readStoreAfter is the age at which an instance that reads from others turns
-	// to the store.
-	readStoreAfter = 2200 * time.Millisecond
+	// to the store: a watch of the store and one of an instance, one after the other.
+	readStoreAfter = storeWait + peerWait
+	// firstFromPeers is how long a starting instance waits for other instances to
+	// pass on their replica before it reads the store.
+	// It exceeds a round trip between data centres, and is short because no packet
+	// is forwarded meanwhile.
+	firstFromPeers = 25 * time.Millisecond
+	// firstPause is the pause between checks while that time runs.
+	firstPause = 5 * time.Millisecond
+	// registerRetry is the pause between attempts to register.
+	registerRetry = 2 * time.Second
 	// idlePause is the pause before a source that is not needed is considered again.
 	idlePause = 200 * time.Millisecond
 )
@@ -45,6 +55,7 @@
 		go i.readStore(ctx, kind)
 		go i.readPeers(ctx, kind)
 	}
+	go i.keepRegistered(ctx)
 }
 
 // readStore follows a kind at the store, as long as this instance should.
@@ -58,7 +69,7 @@
 	for ctx.Err() == nil {
 		if !i.needsStore(kind) {
 			plan.Restart()
-			sleep(ctx, idlePause)
+			sleep(ctx, i.idlePause(kind))
 			continue
 		}
 		began := i.now()
@@ -68,21 +79,30 @@
 		}
 		pause := plan.Done(&res)
 		lost = i.tookAnswer(kind, "store", "", began, &res, lost)
-		if kind == i.platform.InstanceKind && res.Err == nil && res.Call.Op == platform.OpList {
-			i.register(ctx)
-		}
 		sleep(ctx, pause)
 	}
 }
 
+// idlePause returns how long to wait before a source that is not needed now is
+// considered again.
+func (i *Instance) idlePause(kind string) time.Duration {
+	if _, listed := i.replica.Age(i.now(), kind); !listed {
+		return firstPause
+	}
+	return idlePause
+}
+
 // needsStore reports whether this instance should read a kind from the store.
 func (i *Instance) needsStore(kind string) bool {
 	now := i.now()
+	age, ok := i.replica.Age(now, kind)
+	if !ok {
+		return now >= firstFromPeers || !i.registry.knowsOthers()
+	}
 	if _, self := i.registry.readers(now); self {
 		return true
 	}
-	age, ok := i.replica.Age(now, kind)
-	return !ok || kind != i.platform.InstanceKind && age > readStoreAfter
+	return kind != i.platform.InstanceKind && age > readStoreAfter
 }
 
 // readPeers follows a kind at other instances: always if this instance doesn't read
@@ -212,6 +232,7 @@
 	case i.platform.InstanceKind:
 		i.forward.SetInstances(i.registry.zoneSize())
 	}
+	i.releaseHeld(now)
 	if u.First {
 		i.log.Event(viewClass, "first list", logrus.Fields{
 			logfield.Kind: kind, logfield.Source: source, logfield.Version: uint64(res.Listing.Version), logfield.Count: len(u.Objects),
@@ -299,31 +320,36 @@
 	i.registry.put(name, zone, addr)
 }
 
-// register writes the instance's entry into the store unless it is there already.
-func (i *Instance) register(ctx context.Context) {
+// keepRegistered writes the instance's entry into the store unless it is there
+// already, which it is after a restart.
+func (i *Instance) keepRegistered(ctx context.Context) {
 	name, kind := i.settings.Name, i.platform.InstanceKind
 	value, err := i.platform.Entries.InstanceValue(i.settings.Zone, i.settings.Peer)
 	if err != nil {
 		i.log.Event(viewClass, "not registered", logrus.Fields{logfield.Error: err.Error()})
 		return
 	}
-	expect, same := i.registered(kind, name)
-	if same {
-		return
-	}
-	if _, err = i.platform.Store.Put(ctx, kind+"/"+name, value, expect); err != nil {
-		i.log.Event(viewClass, "not registered, to be tried at the next list", logrus.Fields{logfield.Error: err.Error()})
-		return
+	for ctx.Err() == nil {
+		l, _, err := i.replica.Changes(i.now(), kind, 0)
+		if err != nil {
+			sleep(ctx, idlePause) // nothing has been listed yet
+			continue
+		}
+		expect, same := i.registered(l, kind, name)
+		if same {
+			return
+		}
+		if _, err = i.platform.Store.Put(ctx, kind+"/"+name, value, expect); err == nil {
+			i.log.Event(viewClass, "registered", logrus.Fields{logfield.Address: i.settings.Peer.String()})
+			return
+		}
+		i.log.Event(viewClass, "not registered, will be tried again", logrus.Fields{logfield.Error: err.Error()})
+		sleep(ctx, registerRetry)
 	}
-	i.log.Event(viewClass, "registered", logrus.Fields{logfield.Address: i.settings.Peer.String()})
 }
 
 // registered returns the version of the instance's entry and whether it is right.
-func (i *Instance) registered(kind, name string) (platform.Version, bool) {
-	l, _, err := i.replica.Changes(i.now(), kind, 0)
-	if err != nil {
-		return 0, false
-	}
+func (i *Instance) registered(l platform.Listing, kind, name string) (platform.Version, bool) {
 	for _, o := range l.Objects {
 		if o.Key != kind+"/"+name {
 			continue
--- a/internal/edge/registry.go
+++ b/internal/edge/registry.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	// readersPerZone is how many instances of a data centre read the store.
-	readersPerZone = 2
+	// manyZones is the number of data centres from which on one reader of the store
+	// in each is enough; with fewer there are two, so that the end of one reader
+	// leaves another one that is up to date.
+	manyZones = 3
 	// peerRetry is how long an instance that failed to answer is passed over.
 	peerRetry = 1500 * time.Millisecond
 )
@@ -126,7 +128,7 @@
 	for i, name := range names {
 		seeds[i] = rendezvous.Seed(name)
 	}
-	for _, at := range rendezvous.Top(seeds, rendezvous.Seed(r.zone), readersPerZone) {
+	for _, at := range rendezvous.Top(seeds, rendezvous.Seed(r.zone), r.readersPerZone()) {
 		if names[at] == r.self {
 			self = true
 			continue
@@ -136,6 +138,26 @@
 	return others, self
 }
 
+// readersPerZone returns how many instances of a data centre read the store.
+func (r *registry) readersPerZone() int {
+	zones := map[string]bool{}
+	for _, p := range r.named {
+		zones[p.zone] = true
+	}
+	if len(zones) >= manyZones {
+		return 1
+	}
+	return 2
+}
+
+// knowsOthers reports whether any other instance is known.
+func (r *registry) knowsOthers() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	others := slices.ContainsFunc(r.seeds, func(a netip.AddrPort) bool { return a != r.selfAddr })
+	return others || len(r.named) > 0
+}
+
 // next returns another instance to read from: a reader of the own data centre,
 // else in turn one of all that are known. ok is false if none is known to answer.
 func (r *registry) next(now time.Duration) (addr netip.AddrPort, ok bool) {
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -11,7 +11,9 @@
 const (
 	// freshEnough is the age up to which the configuration may be used to refuse a
 	// flow for want of a route: longer than a watch of the store lasts.
-	freshEnough = 3500 * time.Millisecond
+	freshEnough = 5 * time.Second
+	// retransmission is the shortest time after which a client repeats data.
+	retransmission = 200 * time.Millisecond
 	// unknownGrace is how long a token may be unknown before its flow is reset. The
 	// entry of a target that has just started may be on its way.
 	unknownGrace = 2 * time.Second
@@ -106,6 +108,9 @@
 
 // Handle decides on a packet that arrived at the time now.
 func (f *Forwarder) Handle(now time.Duration, s *Segment) Decision {
+	if !f.View.Complete() {
+		return Decision{Verdict: Hold, Reason: NotReady}
+	}
 	if s.SYN {
 		return f.first(now, s)
 	}
@@ -117,9 +122,6 @@
 	if s.ACK {
 		return Decision{Reason: FromTarget}
 	}
-	if !f.View.Complete() {
-		return Decision{Reason: NotReady}
-	}
 	r := f.View.Route(s.Flow.Service)
 	if r == nil {
 		return f.noRoute(now)
@@ -299,7 +301,10 @@
 func (f *Forwarder) data(now time.Duration, s *Segment, state *flowState) {
 	end := s.Seq + uint32(len(s.Data))
 	if !after(end, state.nextSeq) {
-		f.unanswered(now, state.load, state.dataAt)
+		if now >= state.dataAt+retransmission {
+			// Otherwise the client still sends new data, so that its target answers.
+			f.unanswered(now, state.load, state.dataAt)
+		}
 		return
 	}
 	if !state.busy {
--- a/internal/forwarding/segment.go
+++ b/internal/forwarding/segment.go
@@ -59,6 +59,8 @@
 	Forward
 	// Reset ends the flow at the client, which may then try again.
 	Reset
+	// Hold keeps the packet until the view is complete, a moment after the start.
+	Hold
 )
 
 // String returns the verdict's name in lower case.
@@ -70,6 +72,8 @@
 		return "forward"
 	case Reset:
 		return "reset"
+	case Hold:
+		return "hold"
 	}
 	return "unknown"
 }
--- a/internal/logfield/logfield.go
+++ b/internal/logfield/logfield.go
@@ -50,6 +50,9 @@
 	JSON = "json"
 )
 
+// timeFormat shows milliseconds, so that lines of several instances can be ordered.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // New returns a logger that writes events of at least the given logrus level
 // to w, in the format Text or JSON.
 func New(w io.Writer, level, format string) (*logrus.Logger, error) {
@@ -62,9 +65,9 @@
 	l.SetLevel(lv)
 	switch format {
 	case Text:
-		l.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+		l.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: timeFormat})
 	case JSON:
-		l.SetFormatter(&logrus.JSONFormatter{})
+		l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timeFormat, DisableHTMLEscape: true})
 	default:
 		return nil, errors.Errorf("log format %q, allowed are text and json", format)
 	}
--- a/internal/replica/plan.go
+++ b/internal/replica/plan.go
@@ -15,9 +15,9 @@
 	firstPause = 50 * time.Millisecond
 	maxPause   = time.Second
 	// coalescePause lets changes that come together be told in one answer, since
-	// the platform charges each call. It is a small part of the seconds within
-	// which changes have to be in force.
-	coalescePause = 150 * time.Millisecond
+	// the platform charges each call. It is a sixth of the shortest time within
+	// which a change has to be in force (3 s).
+	coalescePause = 500 * time.Millisecond
 )
 
 // Plan decides the next call to a source of one kind: a list, then watches from
