Keep flows in their data centre until its targets queue

Cause: a busy count of one, doubled for the second instance of the data centre, was enough to place a flow elsewhere.

--- a/internal/forwarding/placement.go
+++ b/internal/forwarding/placement.go
@@ -11,7 +11,7 @@
 	// other data centres, in parts of a target's slots. Links between data centres
 	// are dear: an upload of 80 KB across costs nearly what it is worth, a small
 	// request next to nothing.
-	remotePenalty       = 0.7
+	remotePenalty       = 2
 	remoteUploadPenalty = 6
 	// suspectPenalty puts silent and lapsed targets behind all others.
 	suspectPenalty = 1000
