--- /dev/null
+++ b/internal/edge/edge_test.go
@@ -0,0 +1,249 @@
+package edge_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"guavaloom.example/guavaloom/internal/edge"
+	"guavaloom.example/guavaloom/internal/view"
+	"guavaloom.example/guavaloom/platform"
+	"guavaloom.example/guavaloom/platform/standin"
+)
+
+// Guards against a path that is not whole: packets sprayed over two instances,
+// one flow at one target, the packets unchanged, the entries named by their keys.
+func TestFlowsOverSeveralInstances(t *testing.T) {
+	s := newSite(t)
+	targets := []*standin.Target{s.target("i-a1", 0xa1), s.target("i-a2", 0xa2)}
+	one := s.start(1, s.store.Addr())
+	two := s.start(2, s.store.Addr())
+	one.awaitReady()
+	two.awaitReady()
+	c := s.client(one, two)
+	for range 20 {
+		ctx, cancel := context.WithTimeout(t.Context(), hang)
+		f, err := c.Open(ctx, booking)
+		must.NoError(t, err)
+		first, service, err := f.Request(ctx, "one")
+		must.NoError(t, err)
+		must.Eq(t, "booking", service)
+		second, _, err := f.Request(ctx, "two")
+		must.NoError(t, err)
+		must.Eq(t, first, second)
+		f.Close()
+		cancel()
+	}
+	for _, tg := range targets {
+		arrivals, misled := tg.Arrivals()
+		must.Eq(t, 0, misled)
+		must.SliceNotEmpty(t, arrivals)
+		for _, a := range arrivals {
+			must.True(t, a.Intact)
+		}
+	}
+}
+
+// Guards against a target that gets new flows after it drains, and against a
+// configuration that does not take hold: both learned while the store has dropped
+// its history and its watches heard nothing.
+func TestChangesAfterForgottenHistory(t *testing.T) {
+	s := newSite(t)
+	old := s.target("i-a1", 0xa1)
+	one := s.start(1, s.store.Addr())
+	one.awaitReady()
+	s.store.SetFaults(standin.Faults{Deaf: true})
+	old.Register(s.store, "draining")
+	s.target("i-a2", 0xa2)
+	s.store.Put(platform.ConfigKind, "main", config(2, `{"name":"new","host":"198.18.0.9","pathPrefix":"/80/","type":"safe","service":"booking"}`))
+	s.store.ForgetHistory()
+	s.store.SetFaults(standin.Faults{})
+	s.store.CutConnections()
+	c := s.client(one)
+	added := view.Endpoint{Addr: [4]byte{198, 18, 0, 9}, Port: 80}
+	eventually(t, "the new route and target", func() bool {
+		id, err := ask(t, c, added)
+		return err == nil && id == "i-a2"
+	})
+	id, err := ask(t, c, booking)
+	must.NoError(t, err)
+	must.Eq(t, "i-a2", id)
+}
+
+// Guards against a watch that reports versions without the changes before them.
+func TestDeafWatchIsMadeGood(t *testing.T) {
+	s := newSite(t)
+	s.target("i-a1", 0xa1)
+	one := s.start(1, s.store.Addr())
+	one.awaitReady()
+	s.store.SetFaults(standin.Faults{Deaf: true})
+	s.store.Put(platform.ConfigKind, "main", config(2, `{"name":"new","host":"198.18.0.9","pathPrefix":"/80/","type":"safe","service":"booking"}`))
+	eventually(t, "a watch that ends without the event", func() bool { return s.store.DeafAnswers() > 0 })
+	s.store.SetFaults(standin.Faults{})
+	c := s.client(one)
+	eventually(t, "the change", func() bool {
+		_, err := ask(t, c, view.Endpoint{Addr: [4]byte{198, 18, 0, 9}, Port: 80})
+		return err == nil
+	})
+}
+
+// Guards against an instance that can't start, or goes stale, because the store
+// turns it away while others are served.
+func TestLivesOnPeersView(t *testing.T) {
+	s := newSite(t)
+	s.target("i-a1", 0xa1)
+	one := s.start(1, s.store.Addr())
+	one.awaitReady()
+	closed := standin.New()
+	closed.SetFaults(standin.Faults{Status: http.StatusTooManyRequests})
+	t.Cleanup(closed.Close)
+	two := s.start(2, closed.Addr(), one.settings.Peer)
+	two.awaitReady()
+	c := s.client(two)
+	_, err := ask(t, c, booking)
+	must.NoError(t, err)
+	s.store.Put(platform.ConfigKind, "main", config(2, `{"name":"new","host":"198.18.0.9","pathPrefix":"/80/","type":"safe","service":"booking"}`))
+	eventually(t, "the change, told by the peer", func() bool {
+		_, err := ask(t, c, view.Endpoint{Addr: [4]byte{198, 18, 0, 9}, Port: 80})
+		return err == nil
+	})
+}
+
+// Guards against packets that are lost because they came before the first list.
+func TestHoldsEarlyPackets(t *testing.T) {
+	s := newSite(t)
+	s.target("i-a1", 0xa1)
+	s.store.SetFaults(standin.Faults{Silent: true})
+	one := s.start(1, s.store.Addr())
+	eventually(t, "the packet listener", func() bool { return strings.Contains(one.metrics(), "guavaloom_edge_flows") })
+	must.False(t, one.ready())
+	c := s.client(one)
+	got := make(chan error, 1)
+	go func() {
+		_, err := ask(t, c, booking)
+		got <- err
+	}()
+	eventually(t, "the held packet", func() bool { return strings.Contains(one.metrics(), `outcome="hold:not_ready"`) })
+	s.store.SetFaults(standin.Faults{})
+	must.NoError(t, <-got)
+}
+
+// Guards against an entry of another writer that takes a target or the others away.
+func TestUnreadableEntries(t *testing.T) {
+	s := newSite(t)
+	s.target("i-a1", 0xa1)
+	for name, spec := range map[string]string{
+		"i-b1": `{"service":7}`, "i-b2": `"text"`, "i-b3": `{}`, "strange": `{"service":"booking"}`,
+		"i-b4": `{"service":"booking","address":"127.0.0.1:9","zone":"a","slots":3,"state":"dancing"}`,
+	} {
+		s.store.Put(platform.TargetKind, name, spec)
+	}
+	one := s.start(1, s.store.Addr())
+	one.awaitReady()
+	c := s.client(one)
+	for range 10 {
+		id, err := ask(t, c, booking)
+		must.NoError(t, err)
+		must.Eq(t, "i-a1", id)
+	}
+	must.StrContains(t, one.metrics(), `guavaloom_edge_unreadable_total{kind="servers"} 5`)
+}
+
+// Guards against a client that waits where nothing can serve it.
+func TestResetWithoutRoute(t *testing.T) {
+	s := newSite(t)
+	s.target("i-a1", 0xa1)
+	one := s.start(1, s.store.Addr())
+	one.awaitReady()
+	_, err := ask(t, s.client(one), view.Endpoint{Addr: [4]byte{198, 18, 7, 7}, Port: 1})
+	must.ErrorContains(t, err, "after 1 packets: flow was reset")
+}
+
+// Guards against a planned stop that drops packets: the instance reports not ready
+// and forwards until the packets stop coming.
+func TestStopForwardsUntilQuiet(t *testing.T) {
+	s := newSite(t)
+	s.target("i-a1", 0xa1)
+	one := s.start(1, s.store.Addr())
+	one.awaitReady()
+	c := s.client(one)
+	f, err := c.Open(t.Context(), booking)
+	must.NoError(t, err)
+	one.stop()
+	eventually(t, "not ready", func() bool { return !one.ready() })
+	_, _, err = f.Request(t.Context(), "late")
+	must.NoError(t, err)
+	err = <-one.ended
+	must.NoError(t, err)
+	one.ended <- err
+	must.StrContains(t, one.log.String(), `"msg":"stopped"`)
+}
+
+// Guards against SIGHUP ending the process, and against bad settings that take hold.
+func TestReload(t *testing.T) {
+	s := newSite(t)
+	s.target("i-a1", 0xa1)
+	one := s.start(1, s.store.Addr())
+	one.awaitReady()
+	one.write("[peers]\nseeds = 127.0.0.2:99\n")
+	one.reload <- syscall.SIGHUP
+	eventually(t, "reload", func() bool { return strings.Contains(one.log.String(), `"msg":"reload"`) })
+	one.write("[peers]\nseeds = nowhere\n")
+	one.reload <- syscall.SIGHUP
+	eventually(t, "refusal", func() bool { return strings.Contains(one.log.String(), "reload refused") })
+	must.True(t, one.ready())
+}
+
+// Guards against a request that can't be found in the log, and a decision whose
+// inputs are not named.
+func TestLogNamesDecisions(t *testing.T) {
+	s := newSite(t)
+	s.target("i-a1", 0xa1)
+	one := s.start(1, s.store.Addr())
+	one.awaitReady()
+	f, err := s.client(one).Open(t.Context(), booking)
+	must.NoError(t, err)
+	_, _, err = f.Request(t.Context(), "GET / HTTP/1.1\r\nX-Request-Id: 4711\r\n\r\n")
+	must.NoError(t, err)
+	eventually(t, "the request's line", func() bool { return strings.Contains(one.log.String(), `"request":"4711"`) })
+	for _, line := range strings.Split(one.log.String(), "\n") {
+		switch {
+		case strings.Contains(line, `"reason":"placed"`):
+			for _, field := range []string{"flow", "target", "service", "route", "config_version", "config_age_ms", "target_age_ms", "candidates", "verdict"} {
+				must.StrContains(t, line, `"`+field+`":`)
+			}
+		case strings.Contains(line, `"request":"4711"`):
+			must.StrContains(t, line, `"target":"i-a1"`)
+			must.StrContains(t, line, f.ID.String())
+		}
+	}
+}
+
+func (n *node) metrics() string {
+	resp, err := http.Get("http://" + n.settings.Admin.String() + "/metrics")
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	must.NoError(n.t, err)
+	return string(b)
+}
+
+// Guards against a start with settings that are wrong in several places and name
+// only one of them.
+func TestSettingsProblems(t *testing.T) {
+	one := &node{t: t, settings: &edge.Settings{Name: "x"}, file: t.TempDir() + "/bad.ini"}
+	one.write("[limits]\nworkers = 0\n[extra]\n")
+	_, err := edge.LoadSettings(one.file)
+	for _, part := range []string{"zone", "packet", "ready", "peer", "admin", "workers", "extra", "address"} {
+		must.ErrorContains(t, err, part)
+	}
+	_, err = edge.LoadSettings(t.TempDir() + "/none.ini")
+	must.Error(t, err)
+}
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -96,7 +96,7 @@
 			l = &load{}
 			f.loads[t.ID] = l
 		}
-		l.target = t
+		l.adopt(t)
 		f.services[t.Service] = append(f.services[t.Service], l)
 	})
 	for id := range f.loads {
@@ -155,7 +155,7 @@
 	if f.unanswered(now, state.load, state.openingAt) {
 		return true
 	}
-	return state.load.heardAt < state.openingAt
+	return state.load.heardAt <= state.openingAt
 }
 
 func (f *Forwarder) unanswered(now time.Duration, l *load, sentAt time.Duration) bool {
--- /dev/null
+++ b/internal/forwarding/forwarder_test.go
@@ -0,0 +1,291 @@
+package forwarding
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"guavaloom.example/guavaloom/internal/service"
+	"guavaloom.example/guavaloom/internal/target"
+	"guavaloom.example/guavaloom/internal/view"
+)
+
+const ms = time.Millisecond
+
+// events records what the forwarder reports.
+type events []Event
+
+func (e *events) Event(_ time.Duration, ev Event)      { *e = append(*e, ev) }
+func (e *events) Opened(*view.Target, time.Duration)   {}
+func (e *events) Answered(*view.Target, time.Duration) {}
+func (e *events) kinds() (out []EventKind) {
+	for _, ev := range *e {
+		out = append(out, ev.Kind)
+	}
+	return out
+}
+
+// bed is a forwarder with a view.
+type bed struct {
+	*Forwarder
+	events  *events
+	version uint64
+}
+
+var (
+	bookingAddr  = view.Endpoint{Addr: [4]byte{198, 18, 0, 1}, Port: 443}
+	proofingAddr = view.Endpoint{Addr: [4]byte{198, 18, 0, 2}, Port: 443}
+	splitAddr    = view.Endpoint{Addr: [4]byte{198, 18, 0, 3}, Port: 443}
+)
+
+func newBed() *bed {
+	b := &bed{events: &events{}}
+	b.Forwarder = New("a", b.events)
+	b.View.SetConfig(view.Config{Version: 1, Routes: []view.Route{
+		{Name: "booking", Endpoint: bookingAddr, Shares: []view.Share{{Service: "booking", Weight: 1}}},
+		{Name: "proofing", Endpoint: proofingAddr, Kind: view.Upload, Shares: []view.Share{{Service: "proofing", Weight: 1}}},
+		{Name: "split", Endpoint: splitAddr, Shares: []view.Share{{Service: "booking", Weight: 90}, {Service: "proofing", Weight: 10}}},
+	}})
+	b.View.MarkListed()
+	return b
+}
+
+func (b *bed) entry(id target.ID, s service.ID, zone string) view.TargetEntry {
+	return view.TargetEntry{ID: id, Key: 1, Service: s, Addr: netip.MustParseAddrPort("10.0.0.1:80"), Zone: zone, Slots: 3}
+}
+
+func (b *bed) put(now time.Duration, e view.TargetEntry) {
+	b.version++
+	b.View.Put(now, e, b.version)
+	b.TargetsChanged()
+}
+
+func (b *bed) remove(now time.Duration, id target.ID, lapsed bool) {
+	b.version++
+	b.View.Remove(now, id, b.version, lapsed)
+	b.TargetsChanged()
+}
+
+func client(n int) view.Endpoint {
+	return view.Endpoint{Addr: [4]byte{100, 64, byte(n >> 8), byte(n)}, Port: 1025}
+}
+
+func flowTo(s view.Endpoint, n int) FlowID { return FlowID{client(n), s} }
+
+func (b *bed) syn(now time.Duration, f FlowID, copies uint32) Decision {
+	return b.Handle(now, &Segment{Flow: f, SYN: true, Seq: 100, Ack: copies})
+}
+
+// accept sends the packet with which a client answers its target.
+func (b *bed) accept(now time.Duration, f FlowID, d Decision) Decision {
+	return b.Handle(now, &Segment{Flow: f, ACK: true, Seq: 101, Ack: 500, Token: d.Token})
+}
+
+func (b *bed) data(now time.Duration, f FlowID, token, seq, ack uint32, n int) Decision {
+	return b.Handle(now, &Segment{Flow: f, ACK: true, Seq: seq, Ack: ack, Token: token, Data: make([]byte, n)})
+}
+
+// Guards against flows that depend on the instance which saw their first packet:
+// another one, started a moment ago, forwards by the token alone.
+func TestAnyInstanceForwards(t *testing.T) {
+	one, other := newBed(), newBed()
+	for n := range 5 {
+		e := one.entry(target.ID(fmt.Sprintf("i-%d", n)), "booking", "a")
+		one.put(0, e)
+		other.put(0, e)
+	}
+	for n := range 50 {
+		f := flowTo(bookingAddr, n)
+		d := one.syn(0, f, 0)
+		must.Eq(t, Forward, d.Verdict)
+		got := other.data(ms, f, d.Token, 101, 500, 10)
+		must.Eq(t, Forward, got.Verdict)
+		must.Eq(t, d.Target.ID, got.Target.ID)
+		must.Eq(t, 0, got.Token) // later packets are not changed
+	}
+}
+
+// Load pattern: a target ends without notice while flows are opened. Guards
+// against a client that waits for it three times, and against further clients that
+// are sent there.
+func TestSilentTargetIsLeft(t *testing.T) {
+	b := newBed()
+	b.put(0, b.entry("i-dead", "booking", "a"))
+	d := b.syn(1000*ms, flowTo(bookingAddr, 1), 0)
+	must.Eq(t, "i-dead", d.Target.ID)
+	b.put(1000*ms, b.entry("i-live", "booking", "a"))
+	d = b.syn(1200*ms, flowTo(bookingAddr, 1), 1)
+	must.Eq(t, Moved, d.Reason)
+	must.Eq(t, "i-live", d.Target.ID)
+	must.Eq(t, []EventKind{Suspected}, b.events.kinds())
+	for n := range 20 {
+		f := flowTo(bookingAddr, 10+n)
+		d = b.syn(1300*ms+time.Duration(n)*ms, f, 0)
+		must.Eq(t, "i-live", d.Target.ID)
+		b.accept(1301*ms+time.Duration(n)*ms, f, d)
+	}
+}
+
+// Guards against moving a flow whose answer was lost: its target would answer too,
+// and packets of one flow would reach two targets.
+func TestRepeatedFirstPacketStaysWithLiveTarget(t *testing.T) {
+	b := newBed()
+	b.put(0, b.entry("i-1", "booking", "a"))
+	d := b.syn(1000*ms, flowTo(bookingAddr, 1), 0)
+	other := b.syn(1001*ms, flowTo(bookingAddr, 2), 0)
+	b.put(1001*ms, b.entry("i-2", "booking", "a"))
+	b.accept(1010*ms, flowTo(bookingAddr, 2), other)
+	again := b.syn(1200*ms, flowTo(bookingAddr, 1), 1)
+	must.Eq(t, Repeated, again.Reason)
+	must.Eq(t, d.Target.ID, again.Target.ID)
+	must.SliceEmpty(t, *b.events)
+}
+
+// Guards against a target that is shut out for good: after a pause one flow tries
+// it, the pause grows while it stays silent, and its answer ends the suspicion.
+func TestSuspectIsTriedAgain(t *testing.T) {
+	b := newBed()
+	b.put(0, b.entry("i-1", "booking", "a"))
+	b.syn(1000*ms, flowTo(bookingAddr, 1), 0)
+	b.put(1000*ms, b.entry("i-2", "booking", "a"))
+	b.syn(1200*ms, flowTo(bookingAddr, 1), 1)
+	silent := b.loads["i-1"]
+	must.True(t, silent.suspect(1200*ms))
+	must.True(t, silent.suspect(1200*ms+firstAvoid-1))
+	must.False(t, silent.suspect(1200*ms+firstAvoid))
+	silent.opening++ // a trial is under way
+	must.True(t, silent.suspect(1200*ms+firstAvoid))
+	must.False(t, silent.unanswered(2500*ms, 2300*ms)) // suspected already
+	must.True(t, silent.suspect(2500*ms+2*firstAvoid-1))
+	must.True(t, silent.heard(2600*ms))
+	silent.opening--
+	must.False(t, silent.suspect(2600*ms))
+}
+
+// Guards against refusing callers because every target is suspected: more likely
+// the instance itself is cut off, and a try costs nothing.
+func TestSuspectsServeIfNothingElseIsLeft(t *testing.T) {
+	b := newBed()
+	b.put(0, b.entry("i-1", "booking", "a"))
+	b.syn(1000*ms, flowTo(bookingAddr, 1), 0)
+	d := b.syn(1200*ms, flowTo(bookingAddr, 1), 1)
+	must.Eq(t, Forward, d.Verdict)
+	must.Eq(t, Forward, b.syn(1210*ms, flowTo(bookingAddr, 2), 0).Verdict)
+}
+
+// Load pattern: an upload in a full window loses a packet and repeats it while the
+// rest goes on. Guards against suspecting its target.
+func TestRepetitionWithinAnUploadIsNoSilence(t *testing.T) {
+	b := newBed()
+	b.put(0, b.entry("i-1", "proofing", "a"))
+	f := flowTo(proofingAddr, 1)
+	d := b.syn(1000*ms, f, 0)
+	b.accept(1010*ms, f, d)
+	for n := range 20 {
+		b.data(time.Duration(1011+10*n)*ms, f, d.Token, uint32(101+1200*n), 500, 1200)
+	}
+	b.data(1211*ms, f, d.Token, 101, 500, 1200) // the first packet again
+	must.SliceEmpty(t, *b.events)
+	b.data(1700*ms, f, d.Token, 101+1200*19, 500, 1200) // nothing new for half a second
+	must.Eq(t, []EventKind{Suspected}, b.events.kinds())
+}
+
+// Guards against new flows at a target that leaves, and against cutting those that
+// it has.
+func TestDrainingTargetKeepsItsFlows(t *testing.T) {
+	b := newBed()
+	b.put(0, b.entry("i-1", "booking", "a"))
+	f := flowTo(bookingAddr, 1)
+	d := b.syn(0, f, 0)
+	b.accept(ms, f, d)
+	leaving := b.entry("i-1", "booking", "a")
+	leaving.Draining = true
+	b.put(2*ms, leaving)
+	must.Eq(t, Forward, b.data(3*ms, f, d.Token, 101, 500, 10).Verdict)
+	must.Eq(t, Reset, b.syn(3*ms, flowTo(bookingAddr, 2), 0).Verdict) // nothing can serve it
+	b.put(4*ms, b.entry("i-2", "booking", "a"))
+	must.Eq(t, "i-2", b.syn(5*ms, flowTo(bookingAddr, 3), 0).Target.ID)
+}
+
+// Guards against clients that wait on a target which has ended for certain, and
+// against resetting flows of one that may live.
+func TestEndedTarget(t *testing.T) {
+	b := newBed()
+	b.put(0, b.entry("i-1", "booking", "a"))
+	f, g := flowTo(bookingAddr, 1), flowTo(bookingAddr, 2)
+	d := b.syn(0, f, 0)
+	b.accept(ms, f, d)
+	b.remove(2*ms, "i-1", true)
+	must.Eq(t, Forward, b.data(3*ms, f, d.Token, 101, 500, 10).Verdict)
+	must.SliceEmpty(t, b.Tick(4*ms))
+	b.put(5*ms, b.entry("i-1", "booking", "a"))
+	b.remove(6*ms, "i-1", false)
+	must.Eq(t, []ResetFlow{{f, 500, b.View.Target("i-1")}}, b.Tick(7*ms))
+	got := b.data(8*ms, g, d.Token, 101, 700, 10) // first seen here
+	must.Eq(t, Reset, got.Verdict)
+	must.Eq(t, 700, got.Seq)
+	must.Eq(t, TargetEnded, got.Reason)
+	must.Eq(t, Drop, b.Handle(9*ms, &Segment{Flow: g, RST: true, Token: d.Token}).Verdict)
+}
+
+// Guards against resetting the flows of a target that this instance has not heard
+// of yet, and against leaving clients of one that ended before it started.
+func TestUnknownToken(t *testing.T) {
+	b := newBed()
+	f := flowTo(bookingAddr, 1)
+	must.Eq(t, Drop, b.data(0, f, 77, 1, 1, 10).Verdict)
+	b.TargetsFreshAt = 1500 * ms
+	must.Eq(t, Drop, b.data(1900*ms, f, 77, 1, 1, 10).Verdict)
+	must.Eq(t, Reset, b.data(unknownGrace, f, 77, 1, 1, 10).Verdict)
+	must.Eq(t, Drop, b.data(5*time.Second, f, 78, 1, 1, 10).Verdict)
+	must.Eq(t, Drop, b.data(9*time.Second, f, 78, 1, 1, 10).Verdict) // the view is old
+	must.Eq(t, NoToken, b.data(0, f, 0, 1, 1, 10).Reason)
+}
+
+// Guards against refusing a route that was added a moment ago, and against leaving
+// clients without an answer when there surely is none.
+func TestNoRoute(t *testing.T) {
+	b := newBed()
+	f := flowTo(view.Endpoint{Addr: [4]byte{198, 18, 9, 9}, Port: 1}, 1)
+	b.ConfigFreshAt = 10 * time.Second
+	must.Eq(t, Reset, b.syn(11*time.Second, f, 0).Verdict)
+	d := b.syn(10*time.Second+freshEnough+ms, f, 0)
+	must.Eq(t, Drop, d.Verdict)
+	must.Eq(t, RouteUnsure, d.Reason)
+}
+
+// Guards against packets that are lost while a new instance reads its first list.
+func TestHoldsPacketsUntilComplete(t *testing.T) {
+	f := New("a", &events{})
+	d := f.Handle(0, &Segment{Flow: flowTo(bookingAddr, 1), SYN: true})
+	must.Eq(t, Hold, d.Verdict)
+	d = f.Handle(0, &Segment{Flow: flowTo(bookingAddr, 1), ACK: true, Token: 5, Data: []byte("x")})
+	must.Eq(t, Hold, d.Verdict)
+}
+
+// Guards against a target's packet that is passed on to a target.
+func TestPacketOfATarget(t *testing.T) {
+	b := newBed()
+	b.put(0, b.entry("i-1", "booking", "a"))
+	d := b.Handle(0, &Segment{Flow: flowTo(bookingAddr, 1), SYN: true, ACK: true})
+	must.Eq(t, Drop, d.Verdict)
+	must.Eq(t, FromTarget, d.Reason)
+}
+
+// Guards against suspicion and load of a target's former run that are held against
+// its new one.
+func TestRestartClearsWhatWasSeen(t *testing.T) {
+	b := newBed()
+	e := b.entry("i-1", "booking", "a")
+	e.Incarnation = 1
+	b.put(0, e)
+	b.syn(1000*ms, flowTo(bookingAddr, 1), 0)
+	b.syn(1200*ms, flowTo(bookingAddr, 1), 1)
+	must.True(t, b.loads["i-1"].silent)
+	e.Incarnation = 2
+	b.put(1300*ms, e)
+	must.False(t, b.loads["i-1"].silent)
+}
--- a/internal/forwarding/load.go
+++ b/internal/forwarding/load.go
@@ -23,6 +23,8 @@
 // load is what this instance has seen of a target.
 type load struct {
 	target *view.Target
+	// incarnation is that of the target's run which the rest was seen of.
+	incarnation int64
 	// opening, open and busy count flows: first packets without an answer, open
 	// ones, and open ones with a request that has not been answered.
 	opening, open, busy int
@@ -40,6 +42,15 @@
 	latency time.Duration
 }
 
+// adopt takes the target's present entry. What was seen of silence and latency
+// holds for one run of the target only.
+func (l *load) adopt(t *view.Target) {
+	if l.target != nil && l.incarnation != t.Incarnation {
+		l.silent, l.avoidFor, l.avoidUntil, l.latency, l.heardAt = false, 0, 0, 0, 0
+	}
+	l.target, l.incarnation = t, t.Incarnation
+}
+
 // heard records a sign of life and reports whether it ended a suspicion.
 func (l *load) heard(now time.Duration) (cleared bool) {
 	cleared = l.silent
@@ -51,7 +62,7 @@
 // client repeated it. It reports whether the target is newly suspected: it has
 // shown no sign of life on any flow since.
 func (l *load) unanswered(now, sentAt time.Duration) (suspected bool) {
-	if l.heardAt >= sentAt && l.heardAt > 0 {
+	if l.heardAt > sentAt {
 		return false // the packet or its answer was lost
 	}
 	if now < l.avoidUntil {
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,169 @@
+package replica
+
+import (
+	"math/rand"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"guavaloom.example/guavaloom/internal/platform"
+)
+
+func object(key string, version platform.Version) platform.Object {
+	return platform.Object{Key: key, Version: version, Value: []byte(`"x"`)}
+}
+
+func listing(version platform.Version, objects ...platform.Object) platform.Listing {
+	return platform.Listing{Version: version, Objects: objects}
+}
+
+func removed(key string, version platform.Version) platform.Object {
+	return platform.Object{Key: key, Version: version, Deleted: true}
+}
+
+// Guards against a stale list, from a restored or lagging source, that undoes what
+// is known already.
+func TestStaleListIsIgnored(t *testing.T) {
+	r := New("k")
+	r.List(0, "k", listing(10, object("k/a", 4), object("k/b", 9)))
+	u := r.List(time.Second, "k", listing(8, object("k/a", 4)))
+	must.True(t, u.Stale)
+	must.SliceEmpty(t, u.Objects)
+	l, _, err := r.Changes(time.Second, "k", 0)
+	must.NoError(t, err)
+	must.Len(t, 2, l.Objects)
+	age, _ := r.Age(time.Second, "k")
+	must.Eq(t, time.Second, age) // a stale answer proves nothing
+}
+
+// Guards against removals that a list shows only by absence.
+func TestListRemoves(t *testing.T) {
+	r := New("k")
+	r.List(0, "k", listing(10, object("k/a", 4), object("k/b", 9)))
+	u := r.List(0, "k", listing(12, object("k/b", 9)))
+	must.Eq(t, []platform.Object{removed("k/a", 12)}, u.Objects)
+	must.False(t, u.First)
+}
+
+// Guards against events that arrive twice, late or out of order by two sources.
+func TestEventsInAnyOrder(t *testing.T) {
+	r := New("k")
+	r.List(0, "k", listing(10, object("k/a", 4)))
+	must.Len(t, 1, r.Events(0, "k", listing(14, object("k/a", 14))).Objects)
+	must.SliceEmpty(t, r.Events(0, "k", listing(12, object("k/a", 12))).Objects)
+	must.Len(t, 1, r.Events(0, "k", listing(16, removed("k/a", 16))).Objects)
+	must.SliceEmpty(t, r.Events(0, "k", listing(14, object("k/a", 14))).Objects)
+	must.SliceEmpty(t, r.Events(0, "k", listing(16, removed("k/a", 16))).Objects)
+	must.Len(t, 1, r.Events(0, "k", listing(20, object("k/a", 20))).Objects)
+}
+
+// Guards against taking an entry that expired during an outage for one that was
+// removed on purpose, also when another instance passes it on.
+func TestOutageMarksRemovals(t *testing.T) {
+	r, follower := New("k"), New("k")
+	r.List(0, "k", listing(10, object("k/a", 4)))
+	follower.List(0, "k", listing(10, object("k/a", 4)))
+	r.StoreFailed(5 * time.Second)
+	u := r.List(6*time.Second, "k", listing(12))
+	must.True(t, u.Outage)
+	l, _, err := r.Changes(6*time.Second, "k", 10)
+	must.NoError(t, err)
+	must.True(t, follower.Events(6*time.Second, "k", l).Outage)
+	r.Events(20*time.Second, "k", listing(13, object("k/b", 13)))
+	u = r.Events(20*time.Second, "k", listing(14, removed("k/b", 14)))
+	must.False(t, u.Outage)
+}
+
+// Guards against a belief whose age is hidden when it is passed on.
+func TestAgeIsPassedOn(t *testing.T) {
+	r, follower := New("k"), New("k")
+	r.List(10*time.Second, "k", platform.Listing{Version: 10, Age: time.Second})
+	l, _, err := r.Changes(12*time.Second, "k", 0)
+	must.NoError(t, err)
+	must.Eq(t, 3*time.Second, l.Age)
+	follower.List(100*time.Second, "k", l)
+	age, ok := follower.Age(101*time.Second, "k")
+	must.True(t, ok)
+	must.Eq(t, 4*time.Second, age)
+}
+
+// Guards against a follower that misses changes which its source no longer knows.
+func TestChangesExpire(t *testing.T) {
+	r := New("k")
+	_, _, err := r.Changes(0, "k", 0)
+	must.ErrorIs(t, err, platform.ErrUnavailable)
+	_, _, err = r.Changes(0, "none", 0)
+	must.ErrorIs(t, err, platform.ErrNotFound)
+	r.List(0, "k", listing(10, object("k/a", 4)))
+	_, _, err = r.Changes(0, "k", 9)
+	must.ErrorIs(t, err, platform.ErrExpired)
+	r.Events(0, "k", listing(15, removed("k/a", 15), object("k/b", 13)))
+	l, _, err := r.Changes(0, "k", 10)
+	must.NoError(t, err)
+	must.Eq(t, []platform.Object{object("k/b", 13), removed("k/a", 15)}, l.Objects)
+}
+
+// Guards against the calls between instances drifting apart: client and handler.
+func TestHandler(t *testing.T) {
+	r := New("k")
+	server := httptest.NewServer(r.Handler(func() time.Duration { return 0 }))
+	defer server.Close()
+	c := platform.New(platform.Config{URL: server.URL, Attempts: 1})
+	_, err := c.List(t.Context(), "k")
+	must.ErrorIs(t, err, platform.ErrUnavailable)
+	r.List(0, "k", listing(10, object("k/a", 4)))
+	l, err := c.List(t.Context(), "k")
+	must.NoError(t, err)
+	must.Eq(t, []platform.Object{object("k/a", 4)}, l.Objects)
+	go r.Events(0, "k", listing(11, object("k/b", 11)))
+	l, err = c.Watch(t.Context(), "k", 10, 10*time.Second)
+	must.NoError(t, err)
+	must.Eq(t, []platform.Object{object("k/b", 11)}, l.Objects)
+	_, err = c.Watch(t.Context(), "k", 5, time.Second)
+	must.ErrorIs(t, err, platform.ErrExpired)
+}
+
+func newPlan() *Plan { return NewPlan(time.Second, rand.New(rand.NewSource(1))) }
+
+func done(p *Plan, l platform.Listing, err error) time.Duration {
+	r := platform.Result{Call: p.Next("k"), Listing: l, Err: err}
+	return p.Done(&r)
+}
+
+// Guards against a watch that heard nothing while changes were made and then
+// reports their version: the next watch asks for them once more.
+func TestPlanLagsBehindEmptyAnswers(t *testing.T) {
+	p := newPlan()
+	must.Eq(t, platform.OpList, p.Next("k").Op)
+	done(p, listing(10), nil)
+	r := platform.Result{Call: p.Next("k"), Listing: listing(30)}
+	must.Eq(t, 10, r.Call.Version)
+	p.Done(&r)
+	must.Eq(t, 10, r.Listing.Version) // nothing is claimed beyond what is sure
+	must.Eq(t, 10, p.Next("k").Version)
+	done(p, listing(40), nil)
+	must.Eq(t, 30, p.Next("k").Version)
+	done(p, listing(45, object("k/a", 44)), nil)
+	must.Eq(t, 45, p.Next("k").Version)
+}
+
+// Guards against a watch that goes on from a version after its source lost history
+// or failed, and against calls in a tight loop.
+func TestPlanListsAfterFailures(t *testing.T) {
+	p := newPlan()
+	done(p, listing(10), nil)
+	must.Eq(t, 0, done(p, platform.Listing{}, platform.ErrExpired))
+	must.Eq(t, platform.OpList, p.Next("k").Op)
+	done(p, listing(20), nil)
+	last := time.Duration(0)
+	for range 12 {
+		last = done(p, platform.Listing{}, platform.ErrUnavailable)
+		must.Eq(t, platform.OpList, p.Next("k").Op)
+		must.Greater(t, firstPause/4, last)
+	}
+	must.Between(t, maxPause/2, last, maxPause*3/2)
+	done(p, listing(25), nil)
+	must.Eq(t, 25, p.Next("k").Version)
+}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -91,9 +91,9 @@
 	switch {
 	case t == nil:
 		change = Joined
-		t = &Target{TargetEntry: e}
+		t = &Target{TargetEntry: e, Token: TokenOf(e.ID)}
 		v.targets[e.ID] = t
-		v.claimToken(t)
+		v.assignToken(t)
 	case t.Incarnation != e.Incarnation:
 		change = Restarted
 	case t.Missing:
@@ -201,10 +201,10 @@
 	return token
 }
 
-// claimToken gives a new target its token. Where two targets share one, the one
-// with the smaller ID holds it and the other takes no new flows, on all instances.
-func (v *View) claimToken(t *Target) {
-	t.Token = TokenOf(t.ID)
+// assignToken makes the target the holder of its token. Where two targets share
+// one, the one with the smaller ID holds it and the other takes no new flows, on
+// all instances.
+func (v *View) assignToken(t *Target) {
 	holder := v.tokens[t.Token]
 	switch {
 	case holder == nil:
--- /dev/null
+++ b/internal/view/view_test.go
@@ -0,0 +1,156 @@
+package view
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"guavaloom.example/guavaloom/internal/target"
+)
+
+func entry(id target.ID) TargetEntry {
+	return TargetEntry{ID: id, Key: 1, Service: "booking", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Zone: "a", Slots: 3}
+}
+
+// Guards against a configuration that falls back to an older version after a stale
+// answer of the store or of another instance.
+func TestConfigNeverFalls(t *testing.T) {
+	v := New()
+	e := Endpoint{Addr: [4]byte{198, 18, 0, 1}, Port: 443}
+	must.True(t, v.SetConfig(Config{Version: 7, Routes: []Route{{Name: "new", Endpoint: e}}}))
+	must.False(t, v.SetConfig(Config{Version: 6, Routes: []Route{{Name: "old", Endpoint: e}}}))
+	must.False(t, v.SetConfig(Config{Version: 7}))
+	must.Eq(t, "new", v.Route(e).Name)
+	must.True(t, v.SetConfig(Config{Version: 9}))
+	must.Nil(t, v.Route(e))
+}
+
+// Guards against a view that takes traffic while it knows only a part.
+func TestComplete(t *testing.T) {
+	v := New()
+	must.False(t, v.Complete())
+	v.SetConfig(Config{Version: 1})
+	must.False(t, v.Complete())
+	v.MarkListed()
+	must.True(t, v.Complete())
+}
+
+// Guards against an older entry that hides a newer one, in any order of arrival.
+func TestTargetVersions(t *testing.T) {
+	v := New()
+	drained := entry("i-1")
+	drained.Draining = true
+	_, c := v.Put(0, entry("i-1"), 5)
+	must.Eq(t, Joined, c)
+	tg, c := v.Put(0, drained, 8)
+	must.Eq(t, Drained, c)
+	_, c = v.Put(0, entry("i-1"), 5)
+	must.Eq(t, Unchanged, c)
+	must.False(t, v.TakesFlows(0, tg))
+	_, c = v.Remove(0, "i-1", 7, false)
+	must.Eq(t, Unchanged, c)
+	_, c = v.Remove(0, "i-1", 9, false)
+	must.Eq(t, Removed, c)
+	_, c = v.Put(0, entry("i-1"), 8)
+	must.Eq(t, Unchanged, c)
+	must.True(t, v.Ended(0, tg))
+}
+
+// Guards against resetting the flows of a target whose entry lapsed only because
+// the store was away, and against keeping it for good.
+func TestLapsedEntryMayReturn(t *testing.T) {
+	v := New()
+	tg, _ := v.Put(0, entry("i-1"), 5)
+	_, c := v.Remove(10*time.Second, "i-1", 9, true)
+	must.Eq(t, LapsedOut, c)
+	must.False(t, v.Ended(12*time.Second, tg))
+	must.True(t, v.TakesFlows(12*time.Second, tg))
+	must.True(t, v.Ended(10*time.Second+lapseGrace, tg))
+	must.False(t, v.TakesFlows(10*time.Second+lapseGrace, tg))
+	_, c = v.Put(14*time.Second, entry("i-1"), 11)
+	must.Eq(t, Returned, c)
+	must.False(t, v.Ended(14*time.Second, tg))
+}
+
+// Guards against a drained target that is kept in doubt: it left as planned.
+func TestDrainedTargetDoesNotLapse(t *testing.T) {
+	v := New()
+	e := entry("i-1")
+	e.Draining = true
+	tg, _ := v.Put(0, e, 5)
+	_, c := v.Remove(time.Second, "i-1", 9, true)
+	must.Eq(t, Removed, c)
+	must.True(t, v.Ended(time.Second, tg))
+}
+
+// Guards against an unreadable entry that takes new flows, or that loses the flows
+// the target has.
+func TestUnreadableEntry(t *testing.T) {
+	v := New()
+	tg, _ := v.Put(0, entry("i-1"), 5)
+	must.Eq(t, Unreadable, v.PutUnreadable("i-1", 6))
+	must.False(t, v.TakesFlows(0, tg))
+	must.False(t, v.Ended(0, tg))
+	must.Eq(t, tg, v.ByToken(tg.Token))
+	must.Eq(t, Unchanged, v.PutUnreadable("i-2", 7))
+	v.Put(0, entry("i-1"), 8)
+	must.True(t, v.TakesFlows(0, tg))
+}
+
+// Guards against a restart under the same name that goes unnoticed.
+func TestRestart(t *testing.T) {
+	v := New()
+	e := entry("i-1")
+	e.Incarnation = 100
+	v.Put(0, e, 5)
+	e.Incarnation, e.WarmUp = 200, 2*time.Second
+	tg, c := v.Put(time.Second, e, 6)
+	must.Eq(t, Restarted, c)
+	must.Eq(t, 3*time.Second, tg.WarmAt)
+}
+
+// Guards against forgetting a target while flows of its time may be open, and
+// against keeping targets without end.
+func TestForget(t *testing.T) {
+	v := New()
+	v.Put(0, entry("i-1"), 5)
+	v.Remove(0, "i-1", 6, false)
+	must.False(t, v.Forget(60*time.Second))
+	must.NotNil(t, v.ByToken(TokenOf("i-1")))
+	must.True(t, v.Forget(forgetAfter))
+	must.Nil(t, v.ByToken(TokenOf("i-1")))
+	must.SliceEmpty(t, v.Service("booking"))
+}
+
+// Guards against two targets that answer to one token: whatever the order in which
+// an instance learns of them, the same one holds it.
+func TestSharedToken(t *testing.T) {
+	for _, order := range [][2]target.ID{{"i-1", "i-2"}, {"i-2", "i-1"}} {
+		v := New()
+		for n, id := range order {
+			e := entry(id)
+			v.Put(0, e, uint64(n+1))
+		}
+		// The two tokens differ; a shared one is set up by hand.
+		first, second := v.Target("i-1"), v.Target("i-2")
+		delete(v.tokens, first.Token)
+		delete(v.tokens, second.Token)
+		shared := map[target.ID]*Target{"i-1": first, "i-2": second}
+		v.tokens[7] = shared[order[0]]
+		late := shared[order[1]]
+		late.Token = 7
+		v.assignToken(late)
+		must.Eq(t, first, v.tokens[7])
+		must.False(t, v.TakesFlows(0, second))
+		must.True(t, v.TakesFlows(0, first))
+	}
+}
+
+// Guards against a token that means "none".
+func TestTokenIsNeverZero(t *testing.T) {
+	for _, id := range []target.ID{"", "i-1", "i-7f3a91c2"} {
+		must.NotEq(t, 0, TokenOf(id))
+	}
+}
