Lead from a request's id to its cause

A watch of a peer that fell silent was taken for lost history and followed by a second call to the same peer; it now counts as the peer's failure (found in the story of a cut-off instance).

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -48,7 +48,7 @@
 		},
 	}
 	requestCmd.Flags().StringVar(&request.IdempotencyKey, "idempotency-key", "", "key of the request")
-	cmd.AddCommand(flowCmd, requestCmd)
+	cmd.AddCommand(flowCmd, requestCmd, t.storyCommand())
 	return cmd
 }
 
--- /dev/null
+++ b/internal/cli/instances.go
@@ -0,0 +1,95 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+
+	"guavaloom.example/guavaloom/internal/explain"
+)
+
+// statusTimeout is the limit for the answer of one instance.
+const statusTimeout = 3 * time.Second
+
+func (t *tool) instancesCommand() *cobra.Command {
+	var targets bool
+	cmd := &cobra.Command{
+		Use:   "instances ADMIN ...",
+		Short: "Show the view of instances that steer by tokens, and its age; exit 1 if one does not answer or is not ready",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			var all []explain.EdgeStatus
+			var lines, failed []string
+			for _, address := range args {
+				s, err := edgeStatus(c.Context(), address)
+				if err != nil {
+					failed = append(failed, fmt.Sprintf("%s: %v", address, err))
+					continue
+				}
+				if len(s.NotReady) > 0 {
+					failed = append(failed, fmt.Sprintf("%s: not ready: %s", s.Instance, strings.Join(s.NotReady, ", ")))
+				}
+				all = append(all, s)
+				lines = append(lines, statusLines(s, targets)...)
+			}
+			t.print(all, lines...)
+			if len(failed) > 0 {
+				return refused{errors.New(strings.Join(failed, "\n"))}
+			}
+			return nil
+		},
+	}
+	cmd.Flags().BoolVar(&targets, "targets", false, "list what each instance believes of each target")
+	return cmd
+}
+
+func edgeStatus(ctx context.Context, address string) (s explain.EdgeStatus, err error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+explain.EdgeStatusPath, nil)
+	if err != nil {
+		return s, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return s, err
+	}
+	defer func() { _ = resp.Body.Close() }() // it was only read
+	if resp.StatusCode != http.StatusOK {
+		return s, errors.Errorf("status %d", resp.StatusCode)
+	}
+	return s, json.NewDecoder(io.LimitReader(resp.Body, maxStatus)).Decode(&s)
+}
+
+// maxStatus bounds the status of an instance in bytes; a target takes some 150.
+const maxStatus = 16 << 20
+
+func statusLines(s explain.EdgeStatus, targets bool) []string {
+	source := "another instance"
+	if s.ReadsStore {
+		source = "the store"
+	}
+	lines := []string{fmt.Sprintf("%s in %s: configuration %d, %d targets, %d flows, reads from %s",
+		s.Instance, s.Zone, s.Config, len(s.Targets), s.Flows, source)}
+	for _, k := range s.Kinds {
+		if !k.Listed {
+			lines = append(lines, fmt.Sprintf("  %s: not learned yet", k.Kind))
+			continue
+		}
+		lines = append(lines, fmt.Sprintf("  %s: version %d, %d ms old", k.Kind, k.Version, k.AgeMillis))
+	}
+	for _, tg := range s.Targets {
+		if targets {
+			lines = append(lines, fmt.Sprintf("  %s of %s in %s: %s, %d flows, %d requests in flight, %d ms",
+				tg.Target, tg.Service, tg.Zone, tg.State, tg.Open, tg.Busy, tg.LatencyMillis))
+		}
+	}
+	return lines
+}
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -15,6 +16,7 @@
 
 	"guavaloom.example/guavaloom/internal/admin"
 	"guavaloom.example/guavaloom/internal/eventlog"
+	"guavaloom.example/guavaloom/internal/explain"
 	"guavaloom.example/guavaloom/internal/forwarding"
 	"guavaloom.example/guavaloom/internal/logfield"
 	"guavaloom.example/guavaloom/internal/metric"
@@ -133,6 +135,7 @@
 	if err != nil {
 		return err
 	}
+	adm.Add(explain.EdgeStatusPath, i.status)
 	go i.reportEnd("admin", adm.Serve)
 	context.AfterFunc(ctx, func() { _ = adm.Shutdown(context.Background()) }) // the process ends
 	ready := i.platform.ReadyHandler(func() bool { return len(i.notReady()) == 0 })
@@ -143,7 +146,7 @@
 }
 
 func (i *Instance) serveHTTP(ctx context.Context, name string, addr netip.AddrPort, h http.Handler) error {
-	l, err := (&netListenConfig).Listen(ctx, "tcp", addr.String())
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", addr.String())
 	if err != nil {
 		return errors.Wrapf(err, "%s listener", name)
 	}
--- a/internal/edge/reading.go
+++ b/internal/edge/reading.go
@@ -124,7 +124,8 @@
 			call = platform.Call{Op: platform.OpWatch, Key: kind, Version: i.replica.Version(kind), Wait: peerWait}
 		}
 		res := i.callPeer(ctx, addr, call)
-		if errors.Is(res.Err, platform.ErrExpired) {
+		if errors.Is(res.Err, platform.ErrExpired) && i.now()-began < peerWait {
+			// History is gone. A watch that expired by silence is a failure.
 			res = i.callPeer(ctx, addr, platform.Call{Op: platform.OpList, Key: kind})
 		}
 		if ctx.Err() != nil {
--- /dev/null
+++ b/internal/edge/status.go
@@ -0,0 +1,54 @@
+package edge
+
+import (
+	"cmp"
+	"context"
+	"net/url"
+	"slices"
+	"time"
+
+	"guavaloom.example/guavaloom/internal/explain"
+	"guavaloom.example/guavaloom/internal/view"
+)
+
+// status answers the query for the instance's view.
+func (i *Instance) status(context.Context, url.Values) (any, error) {
+	now := i.now()
+	s := explain.EdgeStatus{Instance: i.settings.Name, Zone: i.settings.Zone, NotReady: i.notReady()}
+	_, s.ReadsStore = i.registry.readers(now)
+	for _, kind := range i.replica.Kinds() {
+		age, listed := i.replica.Age(now, kind)
+		k := explain.KindStatus{Kind: kind, Listed: listed, Version: uint64(i.replica.Version(kind))}
+		if listed {
+			k.AgeMillis = age.Milliseconds()
+		}
+		s.Kinds = append(s.Kinds, k)
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	s.Config, s.Flows = i.forward.View.Config().Version, i.forward.Flows()
+	i.forward.View.Targets(func(t *view.Target) { s.Targets = append(s.Targets, i.targetStatus(now, t)) })
+	slices.SortFunc(s.Targets, func(a, b explain.TargetStatus) int { return cmp.Compare(a.Target, b.Target) })
+	return s, nil
+}
+
+func (i *Instance) targetStatus(now time.Duration, t *view.Target) explain.TargetStatus {
+	load, suspected := i.forward.Load(now, t.ID)
+	state := "ready"
+	switch {
+	case i.forward.View.Ended(now, t):
+		state = "ended"
+	case t.Missing:
+		state = "lapsed"
+	case t.Draining:
+		state = "draining"
+	case t.Unreadable:
+		state = "unreadable"
+	case suspected:
+		state = "suspected"
+	}
+	return explain.TargetStatus{
+		Target: string(t.ID), Service: string(t.Service), Zone: t.Zone, State: state,
+		Open: load.Open, Busy: load.Busy, LatencyMillis: load.Latency.Milliseconds(),
+	}
+}
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"net"
 	"os"
 	"time"
 
@@ -24,8 +23,6 @@
 	settingsEvery = 3 * time.Second
 )
 
-var netListenConfig net.ListenConfig
-
 // stop reports not ready and forwards until no more packets come.
 func (i *Instance) stop() {
 	began := i.now()
--- /dev/null
+++ b/internal/explain/story.go
@@ -0,0 +1,135 @@
+package explain
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"guavaloom.example/guavaloom/internal/logfield"
+)
+
+const (
+	// before and after are how long before the first and after the last line of a
+	// flow the lines on its target and on the instances' views belong to its story.
+	before = 10 * time.Second
+	after  = 5 * time.Second
+	// maxLine is the longest log line in bytes.
+	maxLine = 1 << 20
+)
+
+// LogLine is one line of an instance's log.
+type LogLine struct {
+	Time     time.Time      `json:"time"`
+	Instance string         `json:"instance"`
+	Class    string         `json:"class"`
+	Message  string         `json:"message"`
+	Fields   map[string]any `json:"fields"`
+}
+
+// String returns the line with its fields in order.
+func (l LogLine) String() string {
+	var b strings.Builder
+	_, _ = fmt.Fprintf(&b, "%s %s %s:", l.Time.Format("15:04:05.000"), l.Instance, l.Message)
+	for _, k := range slices.Sorted(maps.Keys(l.Fields)) {
+		_, _ = fmt.Fprintf(&b, " %s=%v", k, l.Fields[k])
+	}
+	return b.String()
+}
+
+func (l LogLine) text(field string) string {
+	s, _ := l.Fields[field].(string) // other types are no names
+	return s
+}
+
+// ReadLog reads the log lines of one or more instances. Text before the line's
+// JSON, as collectors add it, is passed over; lines without JSON are counted.
+func ReadLog(r io.Reader) (lines []LogLine, unreadable int, err error) {
+	in := bufio.NewScanner(r)
+	in.Buffer(nil, maxLine)
+	for in.Scan() {
+		l, ok := parseLine(in.Bytes())
+		if !ok {
+			unreadable++
+			continue
+		}
+		lines = append(lines, l)
+	}
+	return lines, unreadable, in.Err()
+}
+
+func parseLine(b []byte) (l LogLine, ok bool) {
+	at := bytes.IndexByte(b, '{')
+	if at < 0 || json.Unmarshal(b[at:], &l.Fields) != nil {
+		return l, false
+	}
+	take := func(key string) string {
+		s := l.text(key)
+		delete(l.Fields, key)
+		return s
+	}
+	l.Instance, l.Class, l.Message = take(logfield.Instance), take(logfield.Class), take("msg")
+	delete(l.Fields, "level")
+	var err error
+	l.Time, err = time.Parse(time.RFC3339Nano, take("time"))
+	return l, err == nil
+}
+
+// ErrNoStory means that the log doesn't name the request or flow.
+var ErrNoStory = errors.New("no line names this request or flow")
+
+// Story returns what the log tells of a request's id or of a flow
+// ("CLIENT>SERVICE"), over all instances and in order of time: the lines of the
+// flow, and those around them on its targets, on the instances' views and on
+// their starts and stops.
+func Story(lines []LogLine, id string) ([]LogLine, error) {
+	flows, targets, instances := map[string]bool{}, map[string]bool{}, map[string]bool{}
+	for _, l := range lines {
+		if l.text(logfield.Request) == id || l.text(logfield.Flow) == id {
+			flows[l.text(logfield.Flow)] = true
+		}
+	}
+	if len(flows) == 0 || id == "" {
+		return nil, ErrNoStory
+	}
+	var from, to time.Time
+	for _, l := range lines {
+		if !flows[l.text(logfield.Flow)] {
+			continue
+		}
+		targets[l.text(logfield.Target)] = true
+		instances[l.Instance] = true
+		if from.IsZero() || l.Time.Before(from) {
+			from = l.Time
+		}
+		if l.Time.After(to) {
+			to = l.Time
+		}
+	}
+	delete(targets, "")
+	var story []LogLine
+	for _, l := range lines {
+		if flows[l.text(logfield.Flow)] || around(l, from, to) && (targets[l.text(logfield.Target)] && l.text(logfield.Flow) == "" || instances[l.Instance] && l.concernsView()) {
+			story = append(story, l)
+		}
+	}
+	slices.SortStableFunc(story, func(a, b LogLine) int { return a.Time.Compare(b.Time) })
+	return story, nil
+}
+
+func around(l LogLine, from, to time.Time) bool {
+	return !l.Time.Before(from.Add(-before)) && !l.Time.After(to.Add(after))
+}
+
+// concernsView reports whether the line tells of the instance's sources or life,
+// and of no single target or flow.
+func (l LogLine) concernsView() bool {
+	return (l.Class == "view" || l.Class == "life") && l.text(logfield.Target) == ""
+}
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -84,6 +84,15 @@
 // Flows returns how many flows the table holds.
 func (f *Forwarder) Flows() int { return len(f.flows.flows) }
 
+// Load returns what was seen of a target, and whether it is suspected now.
+func (f *Forwarder) Load(now time.Duration, id target.ID) (r LoadReport, suspected bool) {
+	l := f.loads[id]
+	if l == nil {
+		return r, false
+	}
+	return l.report(0), l.suspect(now)
+}
+
 // TargetsChanged adopts the view's set of targets. It must be called after a
 // target was added to the view or removed from it.
 func (f *Forwarder) TargetsChanged() {
--- a/internal/manual/manual_test.go
+++ b/internal/manual/manual_test.go
@@ -19,7 +19,7 @@
 
 const (
 	root = "../.."
-	page = root + "/docs/operations.md"
+	page = root + "/docs/OPERATIONS.md"
 )
 
 // files returns the parsed files of a package, tests left out.
@@ -176,6 +176,8 @@
 		"dropped packet":   append(variable(t, "internal/daemon", "dropRelayHeader"), variable(t, "internal/daemon", "dropNoReceiver")...),
 		"not ready reason": texts(t, "internal/daemon", func(n ast.Node) bool { f, ok := n.(*ast.FuncDecl); return ok && f.Name.Name == "notReady" }),
 		"setting":          settingKeys(t),
+		"edge reason":      constants(t, "internal/forwarding", "Reason"),
+		"edge not ready":   texts(t, "internal/edge", func(n ast.Node) bool { f, ok := n.(*ast.FuncDecl); return ok && f.Name.Name == "notReady" }),
 	}
 }
 
