Spread the calls of instances that should not need the store

They now pause 3 s on average, from a random age on, and a first start of all instances is spread over one second.

--- a/internal/edge/reading.go
+++ b/internal/edge/reading.go
@@ -13,6 +13,7 @@
 	"guavaloom.example/guavaloom/internal/logfield"
 	"guavaloom.example/guavaloom/internal/metric"
 	"guavaloom.example/guavaloom/internal/platform"
+	"guavaloom.example/guavaloom/internal/rendezvous"
 	"guavaloom.example/guavaloom/internal/replica"
 	"guavaloom.example/guavaloom/internal/target"
 	"guavaloom.example/guavaloom/internal/view"
@@ -41,6 +42,13 @@
 	// It exceeds a round trip between data centres, and is short because no packet
 	// is forwarded meanwhile.
 	firstFromPeers = 25 * time.Millisecond
+	// firstStartSpread is the time over which instances that all start together,
+	// before there is traffic, turn to the store; later ones hear from earlier ones.
+	firstStartSpread = time.Second
+	// strayPause is the mean pause between calls to the store of instances that
+	// should not need it. When the store is down for all, they would otherwise
+	// multiply the calls by their number.
+	strayPause = 3 * time.Second
 	// firstPause is the pause between checks while that time runs.
 	firstPause = 5 * time.Millisecond
 	// registerRetry is the pause between attempts to register.
@@ -64,10 +72,12 @@
 	if kind == i.platform.InstanceKind {
 		wait = instanceWait
 	}
-	plan := replica.NewPlan(wait, newRand())
+	rng := newRand()
+	staleAfter := readStoreAfter + time.Duration(rng.Float64()*float64(strayPause/2))
+	plan := replica.NewPlan(wait, rng)
 	lost := false
 	for ctx.Err() == nil {
-		if !i.needsStore(kind) {
+		if !i.needsStore(kind, staleAfter) {
 			plan.Restart()
 			sleep(ctx, i.idlePause(kind))
 			continue
@@ -79,6 +89,9 @@
 		}
 		pause := plan.Done(&res)
 		lost = i.tookAnswer(kind, "store", "", began, &res, lost)
+		if _, reader := i.registry.readers(i.now()); lost && !reader {
+			pause = time.Duration((0.5 + rng.Float64()) * float64(strayPause))
+		}
 		sleep(ctx, pause)
 	}
 }
@@ -92,17 +105,26 @@
 	return idlePause
 }
 
+// firstFromPeers returns how long the first list is awaited from other instances.
+func (i *Instance) firstFromPeers() time.Duration {
+	if !i.settings.FirstStart {
+		return firstFromPeers
+	}
+	return firstFromPeers + time.Duration(rendezvous.Seed(i.settings.Name)%uint64(firstStartSpread))
+}
+
 // needsStore reports whether this instance should read a kind from the store.
-func (i *Instance) needsStore(kind string) bool {
+// Other instances' view is used up to the age staleAfter.
+func (i *Instance) needsStore(kind string, staleAfter time.Duration) bool {
 	now := i.now()
 	age, ok := i.replica.Age(now, kind)
 	if !ok {
-		return now >= firstFromPeers || !i.registry.knowsOthers()
+		return now >= i.firstFromPeers() || !i.registry.knowsOthers()
 	}
 	if _, self := i.registry.readers(now); self {
 		return true
 	}
-	return kind != i.platform.InstanceKind && age > readStoreAfter
+	return kind != i.platform.InstanceKind && age > staleAfter
 }
 
 // readPeers follows a kind at other instances: always if this instance doesn't read
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -28,6 +28,9 @@
 	MemoryMB uint64
 	// Workers is the number of packet workers.
 	Workers uint64
+	// FirstStart tells that all instances start together for the first time, some
+	// seconds before there is traffic.
+	FirstStart bool
 }
 
 // LoadSettings reads and checks a file. It reports all mistakes at once as
@@ -47,6 +50,7 @@
 		"instance": {
 			{Key: "name", Required: true, Set: word(&s.Name)},
 			{Key: "zone", Required: true, Set: word(&s.Zone)},
+			{Key: "first_start", Set: inifile.Choice(&s.FirstStart, "true", true, "false", false)},
 		},
 		"listen": {
 			{Key: "packet", Required: true, Set: inifile.Address(&s.Packet)},
