--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -83,7 +83,7 @@
 func New(s *Settings, p Platform, out *logrus.Logger) *Instance {
 	i := &Instance{
 		settings: s, platform: p, start: time.Now(),
-		log:      eventlog.New(out, logrus.Fields{logfield.Instance: s.Name}),
+		log:      eventlog.New(out, s.Name),
 		metrics:  metric.NewSet(),
 		replica:  replica.New(p.ConfigKind, p.TargetKind, p.InstanceKind),
 		registry: newRegistry(s),
--- a/internal/edge/reading.go
+++ b/internal/edge/reading.go
@@ -54,7 +54,10 @@
 	// registerRetry is the pause between attempts to register.
 	registerRetry = 2 * time.Second
 	// idlePause is the pause before a source that is not needed is considered again.
-	idlePause = 200 * time.Millisecond
+	idlePause = 500 * time.Millisecond
+	// retryPause is the pause before another instance is asked in place of one that
+	// did not answer.
+	retryPause = 200 * time.Millisecond
 )
 
 // startReading starts to follow all kinds.
@@ -79,7 +82,7 @@
 	for ctx.Err() == nil {
 		if !i.needsStore(kind, staleAfter) {
 			plan.Restart()
-			sleep(ctx, i.idlePause(kind))
+			sleep(ctx, i.unneededPause(kind))
 			continue
 		}
 		began := i.now()
@@ -96,9 +99,9 @@
 	}
 }
 
-// idlePause returns how long to wait before a source that is not needed now is
-// considered again.
-func (i *Instance) idlePause(kind string) time.Duration {
+// unneededPause returns how long to wait before the store, which is not needed now,
+// is considered again.
+func (i *Instance) unneededPause(kind string) time.Duration {
 	if _, listed := i.replica.Age(i.now(), kind); !listed {
 		return firstPause
 	}
@@ -134,19 +137,25 @@
 	for ctx.Err() == nil {
 		now := i.now()
 		age, listed := i.replica.Age(now, kind)
-		_, reader := i.registry.readers(now)
+		if _, reader := i.registry.readers(now); reader && listed {
+			// A reader hears from the store; the list of instances may be old.
+			if rest := askPeersAfter - age; rest > 0 || kind == i.platform.InstanceKind {
+				sleep(ctx, max(rest, idlePause))
+				continue
+			}
+		}
 		addr, ok := i.registry.next(now)
-		if !ok || reader && listed && age < askPeersAfter || kind == i.platform.InstanceKind && listed && reader {
-			sleep(ctx, idlePause)
+		if !ok {
+			sleep(ctx, retryPause)
 			continue
 		}
 		began := i.now()
 		call := platform.Call{Op: platform.OpList, Key: kind}
 		if listed {
-			call = platform.Call{Op: platform.OpWatch, Key: kind, Version: i.replica.Version(kind), Wait: peerWait}
+			call = platform.Call{Op: platform.OpWatch, Key: kind, Version: i.replica.Version(kind), Wait: i.peerWait(kind)}
 		}
 		res := i.callPeer(ctx, addr, call)
-		if errors.Is(res.Err, platform.ErrExpired) && i.now()-began < peerWait {
+		if errors.Is(res.Err, platform.ErrExpired) && i.now()-began < i.peerWait(kind) {
 			// History is gone. A watch that expired by silence is a failure.
 			res = i.callPeer(ctx, addr, platform.Call{Op: platform.OpList, Key: kind})
 		}
@@ -156,7 +165,7 @@
 		lost = i.tookAnswer(kind, "peer", addr.String(), began, &res, lost)
 		if res.Err != nil {
 			i.registry.fail(i.now(), addr)
-			sleep(ctx, idlePause)
+			sleep(ctx, retryPause)
 			continue
 		}
 		i.registry.answered(addr)
@@ -166,6 +175,14 @@
 	}
 }
 
+// peerWait returns how long a watch of another instance waits for a kind.
+func (i *Instance) peerWait(kind string) time.Duration {
+	if kind == i.platform.InstanceKind {
+		return instanceWait
+	}
+	return peerWait
+}
+
 // callPeer makes a call to another instance.
 func (i *Instance) callPeer(ctx context.Context, addr netip.AddrPort, c platform.Call) platform.Result {
 	client := platform.New(platform.Config{
@@ -355,7 +372,7 @@
 	for ctx.Err() == nil {
 		l, _, err := i.replica.Changes(i.now(), kind, 0)
 		if err != nil {
-			sleep(ctx, idlePause) // nothing has been listed yet
+			sleep(ctx, retryPause) // nothing has been listed yet
 			continue
 		}
 		expect, same := i.registered(l, kind, name)
--- a/internal/edge/report.go
+++ b/internal/edge/report.go
@@ -37,33 +37,35 @@
 	configAge, targetAge time.Duration
 }
 
-// Line implements eventlog.Record.
-func (r *decisionRecord) Line() (string, logrus.Fields) {
-	f := logrus.Fields{logfield.Flow: r.flow.String(), logfield.Verdict: r.decision.Verdict.String()}
+// Encode implements eventlog.Record.
+func (r *decisionRecord) Encode(l *eventlog.Line) {
+	l.Message("flow")
+	l.Text(logfield.Flow, r.flow.String())
+	l.Text(logfield.Verdict, r.decision.Verdict.String())
 	if r.request != "" {
-		f[logfield.Request] = r.request
+		l.Text(logfield.Request, r.request)
 	}
 	if t := r.decision.Target; t != nil {
-		f[logfield.Target], f[logfield.Service] = string(t.ID), string(t.Service)
+		l.Text(logfield.Target, string(t.ID))
+		l.Text(logfield.Service, string(t.Service))
 	}
 	if r.decision.Reason != "" {
-		f[logfield.Reason] = string(r.decision.Reason)
+		l.Text(logfield.Reason, string(r.decision.Reason))
 	}
 	if r.decision.Route != nil {
-		f[logfield.Route] = r.decision.Route.Name
+		l.Text(logfield.Route, r.decision.Route.Name)
 	}
 	if r.configAge >= 0 {
-		f[logfield.Config], f[logfield.ConfigAge] = r.config, r.configAge.Milliseconds()
+		l.Number(logfield.Config, int64(r.config))
+		l.Millis(logfield.ConfigAge, r.configAge)
 	}
-	f[logfield.TargetAge] = r.targetAge.Milliseconds()
+	l.Millis(logfield.TargetAge, r.targetAge)
 	if load := r.decision.Load; load.Candidates > 0 {
-		f[logfield.Candidates], f[logfield.Open], f[logfield.Busy] = load.Candidates, load.Open, load.Busy
-		f[logfield.Latency] = load.Latency.Milliseconds()
+		l.Number(logfield.Candidates, int64(load.Candidates))
+		l.Number(logfield.Open, int64(load.Open))
+		l.Number(logfield.Busy, int64(load.Busy))
+		l.Millis(logfield.Latency, load.Latency)
 	}
-	if r.request != "" {
-		return "request", f
-	}
-	return "flow", f
 }
 
 // counters are the metrics of the packet path.
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -32,20 +32,21 @@
 	Limit int
 }
 
-// Record is a line that is formatted when it is written.
+// Record is a frequent line. It is encoded when it is written, without the maps
+// and the reflection of a logger.
 type Record interface {
-	// Line returns the message and the fields.
-	Line() (message string, fields logrus.Fields)
+	// Encode adds the message and the fields.
+	Encode(line *Line)
 }
 
-// Event is a record whose fields are known already.
-type Event struct {
-	Message string
-	Fields  logrus.Fields
+// event is a rare line with any fields.
+type event struct {
+	message string
+	fields  logrus.Fields
 }
 
-// Line implements Record.
-func (e Event) Line() (string, logrus.Fields) { return e.Message, e.Fields }
+// Encode implements Record. It is not used: events are formatted by the logger.
+func (e event) Encode(*Line) {}
 
 type queued struct {
 	at     time.Time
@@ -55,8 +56,10 @@
 
 // Log queues and writes records. It is safe for concurrent use.
 type Log struct {
-	out  *logrus.Logger
-	base logrus.Fields
+	logger   *logrus.Logger
+	instance string
+	buffer   []byte // of Flush
+	writing  sync.Mutex
 
 	mu      sync.Mutex // guards all below; taken alone
 	queue   []queued
@@ -65,9 +68,10 @@
 	omitted map[string]int // by class, since the last flush
 }
 
-// New returns a log that writes to out and adds the base fields to every line.
-func New(out *logrus.Logger, base logrus.Fields) *Log {
-	return &Log{out: out, base: base, written: map[string]int{}, omitted: map[string]int{}}
+// New returns a log that writes through the logger's formatter to its output. Every
+// line names the instance.
+func New(logger *logrus.Logger, instance string) *Log {
+	return &Log{logger: logger, instance: instance, written: map[string]int{}, omitted: map[string]int{}}
 }
 
 // Add queues a record unless its class is over its limit.
@@ -89,7 +93,7 @@
 
 // Event queues a message with fields.
 func (l *Log) Event(c *Class, message string, fields logrus.Fields) {
-	l.Add(c, Event{message, fields})
+	l.Add(c, event{message, fields})
 }
 
 // Run writes the queue until ctx ends, then writes the rest.
@@ -107,29 +111,43 @@
 	}
 }
 
-// Flush writes all queued records.
+// Flush writes all queued records in one call.
 func (l *Log) Flush() {
+	l.writing.Lock()
+	defer l.writing.Unlock()
 	l.mu.Lock()
 	queue, omitted := l.queue, l.omitted
 	l.queue, l.omitted = nil, map[string]int{}
 	l.mu.Unlock()
+	l.buffer = l.buffer[:0]
 	for _, q := range queue {
-		message, fields := q.record.Line()
-		l.write(q.at, q.class, message, fields)
+		l.encode(q)
 	}
 	for class, n := range omitted {
-		l.write(time.Now(), class, "log lines omitted", logrus.Fields{logfield.Count: n})
+		l.encode(queued{time.Now(), class, event{"log lines omitted", logrus.Fields{logfield.Count: n}}})
+	}
+	if len(l.buffer) > 0 {
+		_, _ = l.logger.Out.Write(l.buffer) // there is nowhere else to report it
 	}
 }
 
-func (l *Log) write(at time.Time, class, message string, fields logrus.Fields) {
-	all := make(logrus.Fields, len(fields)+len(l.base)+1)
-	for k, v := range l.base {
-		all[k] = v
+func (l *Log) encode(q queued) {
+	e, rare := q.record.(event)
+	if !rare {
+		line := newLine(l.buffer, q.at, q.class, l.instance)
+		q.record.Encode(line)
+		l.buffer = line.end()
+		return
+	}
+	data := make(logrus.Fields, len(e.fields)+2)
+	for k, v := range e.fields {
+		data[k] = v
 	}
-	for k, v := range fields {
-		all[k] = v
+	data[logfield.Class], data[logfield.Instance] = q.class, l.instance
+	entry := &logrus.Entry{Logger: l.logger, Data: data, Time: q.at, Level: logrus.InfoLevel, Message: e.message}
+	b, err := l.logger.Formatter.Format(entry)
+	if err != nil {
+		b = []byte(`{"msg":"log line can't be formatted"}` + "\n")
 	}
-	all[logfield.Class] = class
-	l.out.WithTime(at).WithFields(all).Info(message)
+	l.buffer = append(l.buffer, b...)
 }
--- /dev/null
+++ b/internal/eventlog/eventlog_test.go
@@ -0,0 +1,90 @@
+package eventlog
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+
+	"guavaloom.example/guavaloom/internal/logfield"
+)
+
+type record struct{ text string }
+
+func (r record) Encode(l *Line) {
+	l.Message("frequent")
+	l.Text("text", r.text)
+	l.Millis("age", 1500*time.Millisecond)
+}
+
+func newLog(t *testing.T) (*Log, *bytes.Buffer) {
+	t.Helper()
+	var out bytes.Buffer
+	logger, err := logfield.New(&out, "info", logfield.JSON)
+	must.NoError(t, err)
+	return New(logger, "one"), &out
+}
+
+func decoded(t *testing.T, out *bytes.Buffer) (lines []map[string]any) {
+	t.Helper()
+	for text := range strings.Lines(out.String()) {
+		var m map[string]any
+		must.NoError(t, json.Unmarshal([]byte(text), &m), must.Sprint(text))
+		lines = append(lines, m)
+	}
+	return lines
+}
+
+// Guards against two forms of lines in one log, and against lines that callers'
+// texts break.
+func TestLinesAreAlike(t *testing.T) {
+	l, out := newLog(t)
+	c := &Class{Name: "flow", Limit: 10}
+	l.Event(c, "rare", logrus.Fields{"text": "a\"b\n"})
+	l.Add(c, record{"a\"b\n\xff\\"})
+	l.Flush()
+	lines := decoded(t, out)
+	must.Len(t, 2, lines)
+	for _, m := range lines {
+		must.Eq(t, "one", m[logfield.Instance].(string))
+		must.Eq(t, "flow", m[logfield.Class].(string))
+		must.Eq(t, "info", m["level"].(string))
+		_, err := time.Parse(logfield.TimeFormat, m["time"].(string))
+		must.NoError(t, err)
+	}
+	must.Eq(t, "a?b???", lines[1]["text"].(string))
+	must.Eq(t, 1500, lines[1]["age"].(float64))
+}
+
+// Guards against a flood of one class that costs the process its time, or hides the
+// lines of another class, without a trace.
+func TestVolumeIsBounded(t *testing.T) {
+	l, out := newLog(t)
+	noisy, rare := &Class{Name: "noisy", Limit: 5}, &Class{Name: "rare", Limit: 5}
+	l.since = time.Now().Add(time.Hour) // one window, however slow the test runs
+	for range 100 {
+		l.Add(noisy, record{"x"})
+	}
+	l.Event(rare, "told", nil)
+	l.Flush()
+	lines := decoded(t, out)
+	must.Len(t, 7, lines)
+	must.Eq(t, "told", lines[5]["msg"].(string))
+	must.Eq(t, "log lines omitted", lines[6]["msg"].(string))
+	must.Eq(t, 95, lines[6][logfield.Count].(float64))
+}
+
+// Guards against a queue that grows without end while nothing is written.
+func TestQueueIsBounded(t *testing.T) {
+	l, _ := newLog(t)
+	c := &Class{Name: "c", Limit: 1 << 30}
+	for range queueLimit + 10 {
+		l.Add(c, record{"x"})
+	}
+	must.Len(t, queueLimit, l.queue)
+	must.Eq(t, 10, l.omitted["c"])
+}
--- a/internal/logfield/logfield.go
+++ b/internal/logfield/logfield.go
@@ -50,8 +50,8 @@
 	JSON = "json"
 )
 
-// timeFormat shows milliseconds, so that lines of several instances can be ordered.
-const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+// TimeFormat of log lines shows milliseconds, so that lines of several instances can be ordered.
+const TimeFormat = "2006-01-02T15:04:05.000Z07:00"
 
 // New returns a logger that writes events of at least the given logrus level
 // to w, in the format Text or JSON.
@@ -65,9 +65,9 @@
 	l.SetLevel(lv)
 	switch format {
 	case Text:
-		l.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: timeFormat})
+		l.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: TimeFormat})
 	case JSON:
-		l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: timeFormat, DisableHTMLEscape: true})
+		l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: TimeFormat, DisableHTMLEscape: true})
 	default:
 		return nil, errors.Errorf("log format %q, allowed are text and json", format)
 	}
