Add a fault soak of the built program

Separate processes, a loopback proxy before the store for each, signals in overlapping series, faults of the stand-in store and of targets; promises are checked from what clients and targets see.

--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,233 @@
+//go:build linux
+
+package soak
+
+import (
+	"flag"
+	"fmt"
+	"math/rand"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"guavaloom.example/guavaloom/platform/standin"
+)
+
+var (
+	seeds  = flag.Int("seeds", 1, "how many seeds to run")
+	first  = flag.Int64("first", 1, "the first seed")
+	nodes  = flag.Int("instances", 0, "number of instances; 0 draws 2 to 5")
+	keep   = flag.String("keep", "", "folder for the logs of failed seeds")
+	phases = flag.Int("phases", 2, "storms, each followed by a calm")
+)
+
+// regressions are seeds that failed once, with their cause.
+var regressions = []struct {
+	seed  int64
+	cause string
+}{}
+
+// program is the built guavaloom-edge.
+var program string
+
+func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "guavaloom-soak-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	program = filepath.Join(dir, "guavaloom-edge")
+	build := exec.Command("go", "build", "-o", program, "./cmd/guavaloom-edge")
+	build.Dir = filepath.Join("..", "..")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// Guards against promises that hold in each package's tests and not in the running
+// program: real processes, overlapping faults.
+func TestSoak(t *testing.T) {
+	for s := *first; s < *first+int64(*seeds); s++ {
+		t.Run(fmt.Sprint(s), func(t *testing.T) { run(t, s) })
+	}
+}
+
+// Guards against the return of faults that the soak has found.
+func TestSoakRegressions(t *testing.T) {
+	for _, r := range regressions {
+		t.Run(fmt.Sprint(r.seed), func(t *testing.T) {
+			t.Log(r.cause)
+			run(t, r.seed)
+		})
+	}
+}
+
+// Lengths of the parts of a run.
+const (
+	warmUp = 2 * time.Second
+	storm  = 5 * time.Second
+	// calm begins when the last fault has ended. Bounds are judged calmFor later.
+	calm = calmFor + configBound + 3*time.Second
+)
+
+func run(t *testing.T, seed int64) {
+	dir := t.TempDir()
+	w := newWorld(t, dir, seed)
+	stop := make(chan struct{})
+	for n := range w.instances {
+		go w.probe(n, stop)
+	}
+	go w.watchStalls(stop)
+	clientsDone := make(chan struct{})
+	startClients(t, w, seed, stop, clientsDone)
+	time.Sleep(warmUp)
+	var calms []span
+	var script []string
+	for range *phases {
+		script = append(script, w.storm()...)
+		calms = append(calms, w.calmPhase(&script))
+	}
+	close(stop)
+	<-clientsDone
+	w.checkTargets(calms)
+	for _, i := range w.instances {
+		i.stop()
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t.Logf("seed %d: %d instances, %d requests served, %d not; %s", seed, len(w.instances), w.served, w.failed, strings.Join(script, ", "))
+	if w.served == 0 {
+		w.broken = append(w.broken, "nothing was served")
+	}
+	if len(w.broken) > 0 {
+		keepLogs(t, dir, seed)
+	}
+	must.SliceEmpty(t, w.broken, must.Sprintf("seed %d", seed))
+}
+
+// storm makes faults and planned changes at random times and waits for the last
+// fault to end.
+func (w *world) storm() (script []string) {
+	for end := time.Now().Add(storm); time.Now().Before(end); time.Sleep(w.draw(50*time.Millisecond, 900*time.Millisecond)) {
+		if w.rng.Intn(3) == 0 {
+			script = append(script, w.change())
+		} else {
+			script = append(script, w.fault())
+		}
+	}
+	for busy := true; busy; time.Sleep(20 * time.Millisecond) {
+		w.mu.Lock()
+		busy = w.running > 0
+		w.mu.Unlock()
+	}
+	return append(script, "calm")
+}
+
+// calmPhase makes planned changes only and returns the time in which bounds hold.
+func (w *world) calmPhase(script *[]string) span {
+	began := time.Now()
+	for time.Since(began) < calm {
+		time.Sleep(w.draw(300*time.Millisecond, 1500*time.Millisecond))
+		*script = append(*script, w.change())
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	from := began.Add(calmFor)
+	if w.faultUntil.After(began) { // the machine stalled
+		from = w.faultUntil.Add(calmFor)
+	}
+	return span{from, time.Now()}
+}
+
+func newWorld(t *testing.T, dir string, seed int64) *world {
+	t.Helper()
+	rng := rand.New(rand.NewSource(seed))
+	count := *nodes
+	if count == 0 {
+		count = 2 + rng.Intn(4)
+	}
+	var ips []netip.Addr
+	for n := range count + clients {
+		ips = append(ips, netip.AddrFrom4([4]byte{127, 0, 0, byte(1 + n)}))
+	}
+	// Ports are drawn apart from the seed, so that runs side by side don't collide.
+	packetPort, port := portFinder(rand.New(rand.NewSource(time.Now().UnixNano())), ips)
+	w := &world{
+		rng: rng, store: standin.New(), packetPort: packetPort, version: 1,
+		routes: map[int]time.Time{}, removed: map[int]time.Time{}, rotation: map[int]bool{},
+	}
+	t.Cleanup(w.store.Close)
+	for n := range firstExtra {
+		w.routes[n] = time.Now()
+	}
+	w.putConfig()
+	for range 4 {
+		must.NoError(t, w.addTarget("booking", "a", netip.AddrPort{}))
+		must.NoError(t, w.addTarget("proofing", "a", netip.AddrPort{}))
+	}
+	var seeds []string
+	for n := range min(count, 3) {
+		seeds = append(seeds, netip.AddrPortFrom(ips[n], peerPort(packetPort)).String())
+	}
+	for n := range count {
+		p, err := newProxy(w.store.Addr())
+		must.NoError(t, err)
+		t.Cleanup(p.close)
+		i, err := newInstance(dir, program, n+1, "a", packetPort, port, p, seeds)
+		must.NoError(t, err)
+		i.report = w.report
+		must.NoError(t, i.start())
+		w.instances = append(w.instances, i)
+	}
+	return w
+}
+
+// clients is how many addresses clients have, each with several flows at a time.
+const clients = 3
+
+func startClients(t *testing.T, w *world, seed int64, stop, done chan struct{}) {
+	t.Helper()
+	const flows = 6
+	ended := make(chan struct{})
+	for n := range clients {
+		ip := netip.AddrFrom4([4]byte{127, 0, 0, byte(1 + len(w.instances) + n)})
+		c, err := standin.NewClient(netip.AddrPortFrom(ip, w.packetPort), w.route)
+		must.NoError(t, err)
+		t.Cleanup(c.Close)
+		for k := range flows {
+			rng := rand.New(rand.NewSource(seed<<8 + int64(n*flows+k)))
+			go func() {
+				w.client(c, rng, stop)
+				ended <- struct{}{}
+			}()
+		}
+	}
+	go func() {
+		for range clients * flows {
+			<-ended
+		}
+		close(done)
+	}()
+}
+
+// keepLogs copies the logs of a failed seed.
+func keepLogs(t *testing.T, dir string, seed int64) {
+	if *keep == "" {
+		t.Log("logs of the instances are lost; -args -keep FOLDER keeps them")
+		return
+	}
+	to := filepath.Join(*keep, fmt.Sprintf("seed-%d", seed))
+	must.NoError(t, os.CopyFS(to, os.DirFS(dir)))
+	t.Logf("logs of the instances are in %s", to)
+}
