--- a/internal/cli/roll.go
+++ b/internal/cli/roll.go
@@ -14,8 +14,8 @@
 	"github.com/spf13/cobra"
 
 	"guavaloom.example/guavaloom/internal/bundle"
+	"guavaloom.example/guavaloom/internal/objectstore"
 	"guavaloom.example/guavaloom/internal/operator"
-	"guavaloom.example/guavaloom/internal/platform"
 )
 
 // rollFlags are the options of roll.
@@ -40,8 +40,8 @@
 
 // store returns the client of the platform. The operator's tool uploads whole
 // bundles, so that its own rate limit is above that of a daemon.
-func store(s *Settings) platform.Store {
-	return platform.New(platform.Config{URL: s.Platform, Rate: 150, Burst: 150, Timeout: 10 * time.Second})
+func store(s *Settings) objectstore.Store {
+	return objectstore.New(objectstore.Config{URL: s.Platform, Rate: 150, Burst: 150, Timeout: 10 * time.Second})
 }
 
 func (t *tool) roll(ctx context.Context, file string, f rollFlags) error {
--- a/internal/daemon/isolation_test.go
+++ b/internal/daemon/isolation_test.go
@@ -8,7 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"guavaloom.example/guavaloom/internal/lab"
-	"guavaloom.example/guavaloom/internal/platform/standin"
+	"guavaloom.example/guavaloom/internal/objectstore/standin"
 )
 
 // Guards against an instance cut off from its zone that stops serving requests
--- a/internal/daemon/requests.go
+++ b/internal/daemon/requests.go
@@ -12,8 +12,8 @@
 	"guavaloom.example/guavaloom/internal/idempotency"
 	"guavaloom.example/guavaloom/internal/instance"
 	"guavaloom.example/guavaloom/internal/logfield"
+	"guavaloom.example/guavaloom/internal/objectstore"
 	"guavaloom.example/guavaloom/internal/peer"
-	"guavaloom.example/guavaloom/internal/platform"
 	"guavaloom.example/guavaloom/internal/request"
 	"guavaloom.example/guavaloom/internal/rollout"
 	"guavaloom.example/guavaloom/internal/service"
@@ -152,11 +152,11 @@
 // servedBefore reports whether a zone whose table has just been founded may have
 // run requests before. A zone that never had a bundle in force has not; a platform
 // that does not answer leaves it open.
-func servedBefore(ctx context.Context, store platform.Store, name string) bool {
+func servedBefore(ctx context.Context, store objectstore.Store, name string) bool {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	o, err := store.Get(ctx, rollout.StatusPrefix+name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return false
 	}
 	var status rollout.Status
--- a/internal/daemon/requests_test.go
+++ b/internal/daemon/requests_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"guavaloom.example/guavaloom/internal/platform/standin"
+	"guavaloom.example/guavaloom/internal/objectstore/standin"
 	"guavaloom.example/guavaloom/internal/rollout"
 	"guavaloom.example/guavaloom/internal/zone"
 )
--- a/internal/daemon/rollout.go
+++ b/internal/daemon/rollout.go
@@ -16,7 +16,7 @@
 	"guavaloom.example/guavaloom/internal/logfield"
 	"guavaloom.example/guavaloom/internal/membership"
 	"guavaloom.example/guavaloom/internal/metric"
-	"guavaloom.example/guavaloom/internal/platform"
+	"guavaloom.example/guavaloom/internal/objectstore"
 	"guavaloom.example/guavaloom/internal/rollout"
 	"guavaloom.example/guavaloom/internal/settings"
 	"guavaloom.example/guavaloom/internal/zone"
@@ -29,7 +29,7 @@
 // zonePart and never while that is held.
 type rolloutPart struct {
 	d     *daemon
-	store platform.Store
+	store objectstore.Store
 	base  context.Context // ends with the daemon
 	calls sync.WaitGroup
 
@@ -48,7 +48,7 @@
 	calls := rate.Limit(max(s.Platform.CallsPerSecond, 1))
 	return &rolloutPart{
 		d: d, base: base,
-		store: platform.New(platform.Config{URL: s.Platform.URL, Timeout: s.Platform.Timeout, Rate: calls, Burst: 4 * int(calls)}),
+		store: objectstore.New(objectstore.Config{URL: s.Platform.URL, Timeout: s.Platform.Timeout, Rate: calls, Burst: 4 * int(calls)}),
 		node:  rollout.New(rollout.Config{Self: d.self, Policy: policyOf(s)}, rng),
 		seen:  map[instance.ID]instance.Ref{}, gone: map[instance.ID]instance.Ref{},
 	}
@@ -92,9 +92,9 @@
 	}
 }
 
-func (r *rolloutPart) storeCall(c platform.Call) {
+func (r *rolloutPart) storeCall(c objectstore.Call) {
 	r.calls.Go(func() {
-		res := platform.Do(r.base, r.store, c)
+		res := objectstore.Do(r.base, r.store, c)
 		if r.base.Err() == nil {
 			r.call(func(now time.Duration) []rollout.Action { return r.node.StoreResult(now, res) })
 		}
@@ -103,7 +103,7 @@
 
 // listed takes the platform's list. It lags behind, so that an instance is gone
 // only when a former list had it or when a later run of it is listed.
-func (r *rolloutPart) listed(list []platform.Instance) {
+func (r *rolloutPart) listed(list []objectstore.Instance) {
 	now := map[instance.ID]instance.Ref{}
 	var refs []instance.Ref
 	for _, i := range list {
--- a/internal/daemon/seams_test.go
+++ b/internal/daemon/seams_test.go
@@ -21,7 +21,7 @@
 	"guavaloom.example/guavaloom/internal/explain"
 	"guavaloom.example/guavaloom/internal/instance"
 	"guavaloom.example/guavaloom/internal/lab"
-	"guavaloom.example/guavaloom/internal/platform/standin"
+	"guavaloom.example/guavaloom/internal/objectstore/standin"
 )
 
 // hang is a limit against a test that never ends; no verdict depends on it.
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -25,7 +25,7 @@
 	"guavaloom.example/guavaloom/internal/cli"
 	"guavaloom.example/guavaloom/internal/instance"
 	"guavaloom.example/guavaloom/internal/lab"
-	"guavaloom.example/guavaloom/internal/platform"
+	"guavaloom.example/guavaloom/internal/objectstore"
 	"guavaloom.example/guavaloom/internal/settings"
 )
 
@@ -256,9 +256,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	change()
-	var all []platform.Instance
+	var all []objectstore.Instance
 	for _, p := range f.running {
-		all = append(all, platform.Instance{Ref: p.Ref})
+		all = append(all, objectstore.Instance{Ref: p.Ref})
 	}
 	f.Store.SetInstances(all)
 }
--- a/internal/e2e/platform_test.go
+++ b/internal/e2e/platform_test.go
@@ -13,7 +13,7 @@
 	"github.com/shoenig/test/must"
 
 	"guavaloom.example/guavaloom/internal/cli"
-	"guavaloom.example/guavaloom/internal/platform/standin"
+	"guavaloom.example/guavaloom/internal/objectstore/standin"
 	"guavaloom.example/guavaloom/internal/rollout"
 )
 
--- a/internal/e2e/roll_test.go
+++ b/internal/e2e/roll_test.go
@@ -17,7 +17,7 @@
 	"guavaloom.example/guavaloom/internal/bundle"
 	"guavaloom.example/guavaloom/internal/cli"
 	"guavaloom.example/guavaloom/internal/lab"
-	"guavaloom.example/guavaloom/internal/platform"
+	"guavaloom.example/guavaloom/internal/objectstore"
 	"guavaloom.example/guavaloom/internal/rollout"
 )
 
@@ -111,7 +111,7 @@
 	e := b.Encode()
 	for d, part := range e.Parts {
 		_, err := f.Store.Put(ctx, rollout.PartKey(d), part, 0)
-		must.True(f.t, err == nil || errors.Is(err, platform.ErrConflict))
+		must.True(f.t, err == nil || errors.Is(err, objectstore.ErrConflict))
 	}
 	o, err := f.Store.Get(ctx, rollout.CurrentKey)
 	must.NoError(f.t, err)
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -20,8 +20,8 @@
 	"guavaloom.example/guavaloom/internal/forwarding"
 	"guavaloom.example/guavaloom/internal/logfield"
 	"guavaloom.example/guavaloom/internal/metric"
+	"guavaloom.example/guavaloom/internal/objectstore"
 	"guavaloom.example/guavaloom/internal/packet"
-	"guavaloom.example/guavaloom/internal/platform"
 	"guavaloom.example/guavaloom/internal/replica"
 	"guavaloom.example/guavaloom/internal/view"
 )
@@ -45,7 +45,7 @@
 
 // Platform is what an instance needs of the platform that it runs on.
 type Platform struct {
-	Store   platform.Store
+	Store   objectstore.Store
 	Codec   forwarding.Codec
 	Entries Entries
 	// ConfigKind, TargetKind and InstanceKind are the kinds of the objects.
--- a/internal/edge/reading.go
+++ b/internal/edge/reading.go
@@ -12,7 +12,7 @@
 
 	"guavaloom.example/guavaloom/internal/logfield"
 	"guavaloom.example/guavaloom/internal/metric"
-	"guavaloom.example/guavaloom/internal/platform"
+	"guavaloom.example/guavaloom/internal/objectstore"
 	"guavaloom.example/guavaloom/internal/rendezvous"
 	"guavaloom.example/guavaloom/internal/replica"
 	"guavaloom.example/guavaloom/internal/target"
@@ -86,7 +86,7 @@
 			continue
 		}
 		began := i.now()
-		res := platform.Do(ctx, i.platform.Store, plan.Next(kind))
+		res := objectstore.Do(ctx, i.platform.Store, plan.Next(kind))
 		if ctx.Err() != nil {
 			return
 		}
@@ -150,14 +150,14 @@
 			continue
 		}
 		began := i.now()
-		call := platform.Call{Op: platform.OpList, Key: kind}
+		call := objectstore.Call{Op: objectstore.OpList, Key: kind}
 		if listed {
-			call = platform.Call{Op: platform.OpWatch, Key: kind, Version: i.replica.Version(kind), Wait: i.peerWait(kind)}
+			call = objectstore.Call{Op: objectstore.OpWatch, Key: kind, Version: i.replica.Version(kind), Wait: i.peerWait(kind)}
 		}
 		res := i.callPeer(ctx, addr, call)
-		if errors.Is(res.Err, platform.ErrExpired) && i.now()-began < i.peerWait(kind) {
+		if errors.Is(res.Err, objectstore.ErrExpired) && i.now()-began < i.peerWait(kind) {
 			// History is gone. A watch that expired by silence is a failure.
-			res = i.callPeer(ctx, addr, platform.Call{Op: platform.OpList, Key: kind})
+			res = i.callPeer(ctx, addr, objectstore.Call{Op: objectstore.OpList, Key: kind})
 		}
 		if ctx.Err() != nil {
 			return
@@ -184,24 +184,24 @@
 }
 
 // callPeer makes a call to another instance.
-func (i *Instance) callPeer(ctx context.Context, addr netip.AddrPort, c platform.Call) platform.Result {
-	client := platform.New(platform.Config{
+func (i *Instance) callPeer(ctx context.Context, addr netip.AddrPort, c objectstore.Call) objectstore.Result {
+	client := objectstore.New(objectstore.Config{
 		URL: "http://" + addr.String(), Timeout: peerTimeout, Liveness: peerTimeout, Attempts: 1,
 		HTTP: &http.Client{Transport: i.platform.Transport},
 	})
-	return platform.Do(ctx, client, c)
+	return objectstore.Do(ctx, client, c)
 }
 
 // tookAnswer adopts the outcome of a call and logs when a source is lost or regained.
 // lost tells whether the source was lost before; the result is the same for now.
-func (i *Instance) tookAnswer(kind, source, address string, began time.Duration, res *platform.Result, lost bool) bool {
+func (i *Instance) tookAnswer(kind, source, address string, began time.Duration, res *objectstore.Result, lost bool) bool {
 	now := i.now()
 	result := source + ":" + string(res.Call.Op) + ":ok"
 	if res.Err != nil {
 		result = source + ":" + string(res.Call.Op) + ":" + errorName(res.Err)
 	}
 	i.metrics.Counter(metric.EdgeReads, result).Inc(1)
-	if res.Call.Op == platform.OpList {
+	if res.Call.Op == objectstore.OpList {
 		i.metrics.Summary(metric.EdgeReadTime, source).Update((now - began).Microseconds())
 	}
 	fields := logrus.Fields{logfield.Kind: kind, logfield.Source: source}
@@ -209,7 +209,7 @@
 		fields[logfield.Peer] = address
 	}
 	if res.Err != nil {
-		expired := errors.Is(res.Err, platform.ErrExpired)
+		expired := errors.Is(res.Err, objectstore.ErrExpired)
 		if source == "store" && !expired {
 			i.replica.StoreFailed(now)
 		}
@@ -231,8 +231,8 @@
 // errorName names the error of a call for counters.
 func errorName(err error) string {
 	for name, e := range map[string]error{
-		"expired": platform.ErrExpired, "unavailable": platform.ErrUnavailable,
-		"not_found": platform.ErrNotFound, "conflict": platform.ErrConflict, "unknown": platform.ErrUnknown,
+		"expired": objectstore.ErrExpired, "unavailable": objectstore.ErrUnavailable,
+		"not_found": objectstore.ErrNotFound, "conflict": objectstore.ErrConflict, "unknown": objectstore.ErrUnknown,
 	} {
 		if errors.Is(err, e) {
 			return name
@@ -243,11 +243,11 @@
 
 // adopt takes an answer into the replica and the view, in one step, so that two
 // sources can't overtake each other between the two.
-func (i *Instance) adopt(now, began time.Duration, kind, source string, res *platform.Result) {
+func (i *Instance) adopt(now, began time.Duration, kind, source string, res *objectstore.Result) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	var u replica.Update
-	if res.Call.Op == platform.OpList {
+	if res.Call.Op == objectstore.OpList {
 		// The answer shows the state at some time after the call.
 		res.Listing.Age += now - began
 		u = i.replica.List(now, kind, res.Listing)
@@ -280,7 +280,7 @@
 	}
 }
 
-func (i *Instance) adoptObject(now time.Duration, kind, source string, o platform.Object, outage bool) {
+func (i *Instance) adoptObject(now time.Duration, kind, source string, o objectstore.Object, outage bool) {
 	_, name, _ := strings.Cut(o.Key, "/")
 	switch kind {
 	case i.platform.ConfigKind:
@@ -292,7 +292,7 @@
 	}
 }
 
-func (i *Instance) adoptConfig(name, source string, o platform.Object) {
+func (i *Instance) adoptConfig(name, source string, o objectstore.Object) {
 	fields := logrus.Fields{logfield.Source: source, logfield.Version: uint64(o.Version)}
 	if o.Deleted {
 		i.log.Event(viewClass, "configuration removed from the store, the last one holds", fields)
@@ -313,7 +313,7 @@
 	}
 }
 
-func (i *Instance) adoptTarget(now time.Duration, name, source string, o platform.Object, outage bool) {
+func (i *Instance) adoptTarget(now time.Duration, name, source string, o objectstore.Object, outage bool) {
 	var change view.Change
 	var t *view.Target
 	v := i.forward.View
@@ -347,7 +347,7 @@
 	i.log.Event(viewClass, "entry unreadable", logrus.Fields{logfield.Kind: kind, logfield.Target: name, logfield.Error: err.Error()})
 }
 
-func (i *Instance) adoptInstance(name string, o platform.Object) {
+func (i *Instance) adoptInstance(name string, o objectstore.Object) {
 	if o.Deleted {
 		i.registry.remove(name)
 		return
@@ -389,7 +389,7 @@
 }
 
 // registered returns the version of the instance's entry and whether it is right.
-func (i *Instance) registered(l platform.Listing, kind, name string) (platform.Version, bool) {
+func (i *Instance) registered(l objectstore.Listing, kind, name string) (objectstore.Version, bool) {
 	for _, o := range l.Objects {
 		if o.Key != kind+"/"+name {
 			continue
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -19,9 +19,9 @@
 	"guavaloom.example/guavaloom/internal/bundle"
 	"guavaloom.example/guavaloom/internal/daemon"
 	"guavaloom.example/guavaloom/internal/instance"
+	"guavaloom.example/guavaloom/internal/objectstore"
+	"guavaloom.example/guavaloom/internal/objectstore/standin"
 	"guavaloom.example/guavaloom/internal/operator"
-	"guavaloom.example/guavaloom/internal/platform"
-	"guavaloom.example/guavaloom/internal/platform/standin"
 	"guavaloom.example/guavaloom/internal/settings"
 )
 
@@ -137,11 +137,11 @@
 
 // list replaces the platform's list of instances; f.mu is held.
 func (f *Fleet) list() {
-	var all []platform.Instance
+	var all []objectstore.Instance
 	for _, i := range f.instances {
-		all = append(all, platform.Instance{Ref: i.Ref})
+		all = append(all, objectstore.Instance{Ref: i.Ref})
 	}
-	slices.SortFunc(all, func(a, b platform.Instance) int { return a.Ref.Compare(b.Ref) })
+	slices.SortFunc(all, func(a, b objectstore.Instance) int { return a.Ref.Compare(b.Ref) })
 	f.Store.SetInstances(all)
 }
 
@@ -203,7 +203,7 @@
 	f.mu.Unlock()
 	public := f.key.Public().(ed25519.PublicKey)
 	r := &operator.Roll{
-		Store:      platform.New(platform.Config{URL: f.url, Rate: 150, Burst: 150, Timeout: 10 * time.Second}),
+		Store:      objectstore.New(objectstore.Config{URL: f.url, Rate: 150, Burst: 150, Timeout: 10 * time.Second}),
 		Policy:     bundle.Policy{Name: Name, Threshold: 1, Keys: map[bundle.KeyID]ed25519.PublicKey{bundle.IDOf(public): public}},
 		Bundle:     b,
 		Signatures: []bundle.Signature{bundle.Sign(b.Digest(), f.key)},
--- a/internal/platform/client_test.go
+++ b/internal/objectstore/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objectstore_test
 
 import (
 	"context"
@@ -10,18 +10,18 @@
 
 	"github.com/shoenig/test/must"
 
-	"guavaloom.example/guavaloom/internal/platform"
-	"guavaloom.example/guavaloom/internal/platform/standin"
+	"guavaloom.example/guavaloom/internal/objectstore"
+	"guavaloom.example/guavaloom/internal/objectstore/standin"
 )
 
-func client(t testing.TB, h http.Handler, change func(*platform.Config)) *platform.Client {
+func client(t testing.TB, h http.Handler, change func(*objectstore.Config)) *objectstore.Client {
 	server := httptest.NewServer(h)
 	t.Cleanup(server.Close)
-	cfg := platform.Config{URL: server.URL, Backoff: time.Millisecond, Rate: 1e6, Burst: 1000, Rand: rand.New(rand.NewSource(1))}
+	cfg := objectstore.Config{URL: server.URL, Backoff: time.Millisecond, Rate: 1e6, Burst: 1000, Rand: rand.New(rand.NewSource(1))}
 	if change != nil {
 		change(&cfg)
 	}
-	return platform.New(cfg)
+	return objectstore.New(cfg)
 }
 
 // Guards against changes that ignore the version or answers that are misread.
@@ -29,17 +29,17 @@
 	ctx := context.Background()
 	c := client(t, standin.New().Handler(), nil)
 	_, err := c.Get(ctx, "bundle/current")
-	must.ErrorIs(t, err, platform.ErrNotFound)
+	must.ErrorIs(t, err, objectstore.ErrNotFound)
 	v1, err := c.Put(ctx, "bundle/current", []byte("one"), 0)
 	must.NoError(t, err)
 	_, err = c.Put(ctx, "bundle/current", []byte("two"), 0)
-	must.ErrorIs(t, err, platform.ErrConflict)
+	must.ErrorIs(t, err, objectstore.ErrConflict)
 	v2, err := c.Put(ctx, "bundle/current", []byte("two"), v1)
 	must.NoError(t, err)
 	o, err := c.Get(ctx, "bundle/current")
 	must.NoError(t, err)
-	must.Eq(t, platform.Object{Key: "bundle/current", Version: v2, Value: []byte("two")}, o)
-	must.ErrorIs(t, c.Delete(ctx, "bundle/current", v1), platform.ErrConflict)
+	must.Eq(t, objectstore.Object{Key: "bundle/current", Version: v2, Value: []byte("two")}, o)
+	must.ErrorIs(t, c.Delete(ctx, "bundle/current", v1), objectstore.ErrConflict)
 	must.NoError(t, c.Delete(ctx, "bundle/current", v2))
 	l, err := c.Watch(ctx, "bundle/", v1, time.Second)
 	must.NoError(t, err)
@@ -47,7 +47,7 @@
 	l, err = c.List(ctx, "bundle/")
 	must.NoError(t, err)
 	must.Len(t, 0, l.Objects)
-	_, err = c.Put(ctx, "k", make([]byte, platform.MaxValue+1), 0)
+	_, err = c.Put(ctx, "k", make([]byte, objectstore.MaxValue+1), 0)
 	must.ErrorContains(t, err, "allowed are")
 }
 
@@ -58,18 +58,18 @@
 	c := client(t, m.Handler(), nil)
 	m.SetFaults(standin.Faults{LoseAnswers: 1})
 	_, err := c.Put(ctx, "a", []byte("x"), 0)
-	must.ErrorIs(t, err, platform.ErrUnknown)
-	must.Eq(t, 1, m.Calls()[platform.OpPut])
+	must.ErrorIs(t, err, objectstore.ErrUnknown)
+	must.Eq(t, 1, m.Calls()[objectstore.OpPut])
 	m.SetFaults(standin.Faults{LoseAnswers: 1})
-	v, err := platform.PutResolved(ctx, c, "b", []byte("x"), 0)
+	v, err := objectstore.PutResolved(ctx, c, "b", []byte("x"), 0)
 	must.NoError(t, err)
 	o, err := c.Get(ctx, "b")
 	must.NoError(t, err)
 	must.Eq(t, o.Version, v)
-	slow := client(t, m.Handler(), func(cfg *platform.Config) { cfg.Timeout = 20 * time.Millisecond })
+	slow := client(t, m.Handler(), func(cfg *objectstore.Config) { cfg.Timeout = 20 * time.Millisecond })
 	m.SetFaults(standin.Faults{Slow: time.Minute})
 	_, err = slow.Put(ctx, "c", []byte("x"), 0)
-	must.ErrorIs(t, err, platform.ErrUnknown, must.Sprint("a slow change may still take effect"))
+	must.ErrorIs(t, err, objectstore.ErrUnknown, must.Sprint("a slow change may still take effect"))
 }
 
 // Guards against an outage that is not retried, or retried without end.
@@ -78,22 +78,22 @@
 	c := client(t, m.Handler(), nil)
 	m.SetFaults(standin.Faults{Down: true})
 	_, err := c.List(context.Background(), "")
-	must.ErrorIs(t, err, platform.ErrUnavailable)
-	must.Eq(t, 4, m.Calls()[platform.OpList])
-	closed := platform.New(platform.Config{URL: "http://127.0.0.1:1", Backoff: time.Millisecond, Attempts: 2})
+	must.ErrorIs(t, err, objectstore.ErrUnavailable)
+	must.Eq(t, 4, m.Calls()[objectstore.OpList])
+	closed := objectstore.New(objectstore.Config{URL: "http://127.0.0.1:1", Backoff: time.Millisecond, Attempts: 2})
 	_, err = closed.Put(context.Background(), "a", nil, 0)
-	must.ErrorIs(t, err, platform.ErrUnavailable, must.Sprint("a change that was not sent is not unknown"))
+	must.ErrorIs(t, err, objectstore.ErrUnavailable, must.Sprint("a change that was not sent is not unknown"))
 }
 
 // Guards against a process that calls the platform more often than its own limit.
 func TestOwnRateLimit(t *testing.T) {
 	m := standin.New()
-	c := client(t, m.Handler(), func(cfg *platform.Config) { cfg.Rate, cfg.Burst, cfg.Attempts = 0.001, 2, 1 })
+	c := client(t, m.Handler(), func(cfg *objectstore.Config) { cfg.Rate, cfg.Burst, cfg.Attempts = 0.001, 2, 1 })
 	ctx := context.Background()
 	for range 5 {
 		_, _ = c.List(ctx, "")
 	}
-	must.Eq(t, 2, m.Calls()[platform.OpList])
+	must.Eq(t, 2, m.Calls()[objectstore.OpList])
 }
 
 // Guards against a watch that hangs on a connection that went silent.
@@ -106,9 +106,9 @@
 		}
 		m.Handler().ServeHTTP(w, r)
 	})
-	c := client(t, silent, func(cfg *platform.Config) { cfg.Liveness = 20 * time.Millisecond })
+	c := client(t, silent, func(cfg *objectstore.Config) { cfg.Liveness = 20 * time.Millisecond })
 	_, err := c.Watch(context.Background(), "", 0, 10*time.Millisecond)
-	must.ErrorIs(t, err, platform.ErrExpired)
+	must.ErrorIs(t, err, objectstore.ErrExpired)
 }
 
 // Guards against a watch that waits for versions that a restored store will not reach soon.
@@ -121,7 +121,7 @@
 	must.NoError(t, err)
 	m.Restore(old)
 	_, err = c.Watch(ctx, "", v, time.Minute)
-	must.ErrorIs(t, err, platform.ErrExpired)
+	must.ErrorIs(t, err, objectstore.ErrExpired)
 }
 
 // FuzzAnswer guards against answers that stop the client or pass as a valid object or change.
@@ -136,7 +136,7 @@
 		_, _ = w.Write(body)
 	}))
 	f.Cleanup(server.Close)
-	c := platform.New(platform.Config{URL: server.URL, Attempts: 1, Rate: 1e9, Burst: 1e6})
+	c := objectstore.New(objectstore.Config{URL: server.URL, Attempts: 1, Rate: 1e9, Burst: 1e6})
 	f.Fuzz(func(t *testing.T, s int, b []byte) {
 		status, body = 200+(s%400+400)%400, b
 		ctx := context.Background()
--- a/internal/platform/doc.go
+++ b/internal/objectstore/doc.go
@@ -1,4 +1,6 @@
-// Package platform is the client of the platform's object API.
+// Package objectstore is the object API of the product: the interface of a store of
+// objects with versions, and a client of it over HTTP. Instances serve each other with
+// it; package platform has the implementation for the users' store.
 //
 // An object has a key, a version and a value of at most 1 MB. Changes are
 // conditional on the version. Versions come from one counter of the store, so
@@ -14,4 +16,4 @@
 // Status 404 means no such object, 409 that the version did not match, 429 that
 // the caller is over its rate, and 410 that the watch's version is too old or
 // ahead of the store.
-package platform
+package objectstore
--- a/internal/platform/standin/handler.go
+++ b/internal/objectstore/standin/handler.go
@@ -10,10 +10,10 @@
 
 	"github.com/go-faster/errors"
 
-	"guavaloom.example/guavaloom/internal/platform"
+	"guavaloom.example/guavaloom/internal/objectstore"
 )
 
-// Handler serves the store over HTTP as described in package platform.
+// Handler serves the store over HTTP as described in package objectstore.
 func (m *Memory) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/instances", func(w http.ResponseWriter, r *http.Request) {
@@ -38,7 +38,7 @@
 		http.Error(w, "bad after or wait, allowed is 0 to 60 s", http.StatusBadRequest)
 		return
 	}
-	l, err := m.Watch(r.Context(), q.Get("prefix"), platform.Version(after), time.Duration(wait*float64(time.Second)))
+	l, err := m.Watch(r.Context(), q.Get("prefix"), objectstore.Version(after), time.Duration(wait*float64(time.Second)))
 	reply(w, l, err)
 }
 
@@ -55,17 +55,17 @@
 		return
 	}
 	if r.Method == http.MethodDelete {
-		err := m.Delete(r.Context(), key, platform.Version(version))
+		err := m.Delete(r.Context(), key, objectstore.Version(version))
 		reply(w, struct{}{}, err)
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValue))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, objectstore.MaxValue))
 	if r.Method != http.MethodPut || err != nil {
 		http.Error(w, "allowed are GET, PUT and DELETE with up to 1 MB", http.StatusBadRequest)
 		return
 	}
-	v, err := m.Put(r.Context(), key, body, platform.Version(version))
-	reply(w, map[string]platform.Version{"version": v}, err)
+	v, err := m.Put(r.Context(), key, body, objectstore.Version(version))
+	reply(w, map[string]objectstore.Version{"version": v}, err)
 }
 
 func reply(w http.ResponseWriter, answer any, err error) {
@@ -73,13 +73,13 @@
 	case err == nil:
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(answer)
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objectstore.ErrNotFound):
 		http.Error(w, err.Error(), http.StatusNotFound)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectstore.ErrConflict):
 		http.Error(w, err.Error(), http.StatusConflict)
-	case errors.Is(err, platform.ErrExpired):
+	case errors.Is(err, objectstore.ErrExpired):
 		http.Error(w, err.Error(), http.StatusGone)
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, objectstore.ErrUnknown):
 		// Closes the connection without an answer.
 		panic(http.ErrAbortHandler)
 	default:
--- a/internal/platform/standin/memory.go
+++ b/internal/objectstore/standin/memory.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"guavaloom.example/guavaloom/internal/platform"
+	"guavaloom.example/guavaloom/internal/objectstore"
 )
 
 // Faults are the faults in effect. The zero value has none.
@@ -29,21 +29,21 @@
 type Memory struct {
 	mu        sync.Mutex
 	faults    Faults
-	version   platform.Version
-	objects   map[string]platform.Object // deleted objects stay as tombstones
-	before    map[string]platform.Object // state before the last change
-	instances []platform.Instance
-	calls     map[platform.Op]int
+	version   objectstore.Version
+	objects   map[string]objectstore.Object // deleted objects stay as tombstones
+	before    map[string]objectstore.Object // state before the last change
+	instances []objectstore.Instance
+	calls     map[objectstore.Op]int
 	changed   chan struct{} // closed at the next change
 }
 
-var _ platform.Store = (*Memory)(nil)
+var _ objectstore.Store = (*Memory)(nil)
 
 // New returns an empty store.
 func New() *Memory {
 	return &Memory{
-		objects: make(map[string]platform.Object),
-		calls:   make(map[platform.Op]int),
+		objects: make(map[string]objectstore.Object),
+		calls:   make(map[objectstore.Op]int),
 		changed: make(chan struct{}),
 	}
 }
@@ -56,14 +56,14 @@
 }
 
 // SetInstances replaces the platform's list of instances.
-func (m *Memory) SetInstances(list []platform.Instance) {
+func (m *Memory) SetInstances(list []objectstore.Instance) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.instances = slices.Clone(list)
 }
 
 // Calls returns how many calls of each kind were made.
-func (m *Memory) Calls() map[platform.Op]int {
+func (m *Memory) Calls() map[objectstore.Op]int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return maps.Clone(m.calls)
@@ -71,8 +71,8 @@
 
 // Snapshot is a saved state.
 type Snapshot struct {
-	version platform.Version
-	objects map[string]platform.Object
+	version objectstore.Version
+	objects map[string]objectstore.Object
 }
 
 // Snapshot saves the state for a later Restore.
@@ -96,7 +96,7 @@
 }
 
 // begin counts a call and applies the faults that come before it.
-func (m *Memory) begin(ctx context.Context, op platform.Op) error {
+func (m *Memory) begin(ctx context.Context, op objectstore.Op) error {
 	m.mu.Lock()
 	m.calls[op]++
 	f := m.faults
@@ -104,18 +104,18 @@
 	if f.Slow > 0 {
 		select {
 		case <-ctx.Done():
-			return platform.ErrUnavailable
+			return objectstore.ErrUnavailable
 		case <-time.After(f.Slow):
 		}
 	}
 	if f.Down {
-		return platform.ErrUnavailable
+		return objectstore.ErrUnavailable
 	}
 	return nil
 }
 
 // view returns the state that a read sees.
-func (m *Memory) view() map[string]platform.Object {
+func (m *Memory) view() map[string]objectstore.Object {
 	if m.faults.StaleReads > 0 && m.before != nil {
 		m.faults.StaleReads--
 		return m.before
@@ -123,28 +123,28 @@
 	return m.objects
 }
 
-// Get implements platform.Store.
-func (m *Memory) Get(ctx context.Context, key string) (platform.Object, error) {
-	if err := m.begin(ctx, platform.OpGet); err != nil {
-		return platform.Object{}, err
+// Get implements objectstore.Store.
+func (m *Memory) Get(ctx context.Context, key string) (objectstore.Object, error) {
+	if err := m.begin(ctx, objectstore.OpGet); err != nil {
+		return objectstore.Object{}, err
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	o, found := m.view()[key]
 	if !found || o.Deleted {
-		return platform.Object{}, platform.ErrNotFound
+		return objectstore.Object{}, objectstore.ErrNotFound
 	}
 	return o, nil
 }
 
-// List implements platform.Store.
-func (m *Memory) List(ctx context.Context, prefix string) (platform.Listing, error) {
-	if err := m.begin(ctx, platform.OpList); err != nil {
-		return platform.Listing{}, err
+// List implements objectstore.Store.
+func (m *Memory) List(ctx context.Context, prefix string) (objectstore.Listing, error) {
+	if err := m.begin(ctx, objectstore.OpList); err != nil {
+		return objectstore.Listing{}, err
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	l := platform.Listing{Version: m.version}
+	l := objectstore.Listing{Version: m.version}
 	for _, o := range m.view() {
 		if strings.HasPrefix(o.Key, prefix) && !o.Deleted {
 			l.Objects = append(l.Objects, o)
@@ -153,23 +153,23 @@
 	return sorted(l), nil
 }
 
-func sorted(l platform.Listing) platform.Listing {
-	slices.SortFunc(l.Objects, func(x, y platform.Object) int { return strings.Compare(x.Key, y.Key) })
+func sorted(l objectstore.Listing) objectstore.Listing {
+	slices.SortFunc(l.Objects, func(x, y objectstore.Object) int { return strings.Compare(x.Key, y.Key) })
 	return l
 }
 
-// Put implements platform.Store.
-func (m *Memory) Put(ctx context.Context, key string, value []byte, expect platform.Version) (platform.Version, error) {
-	return m.change(ctx, platform.OpPut, platform.Object{Key: key, Value: slices.Clone(value)}, expect)
+// Put implements objectstore.Store.
+func (m *Memory) Put(ctx context.Context, key string, value []byte, expect objectstore.Version) (objectstore.Version, error) {
+	return m.change(ctx, objectstore.OpPut, objectstore.Object{Key: key, Value: slices.Clone(value)}, expect)
 }
 
-// Delete implements platform.Store.
-func (m *Memory) Delete(ctx context.Context, key string, expect platform.Version) error {
-	_, err := m.change(ctx, platform.OpDelete, platform.Object{Key: key, Deleted: true}, expect)
+// Delete implements objectstore.Store.
+func (m *Memory) Delete(ctx context.Context, key string, expect objectstore.Version) error {
+	_, err := m.change(ctx, objectstore.OpDelete, objectstore.Object{Key: key, Deleted: true}, expect)
 	return err
 }
 
-func (m *Memory) change(ctx context.Context, op platform.Op, o platform.Object, expect platform.Version) (platform.Version, error) {
+func (m *Memory) change(ctx context.Context, op objectstore.Op, o objectstore.Object, expect objectstore.Version) (objectstore.Version, error) {
 	if err := m.begin(ctx, op); err != nil {
 		return 0, err
 	}
@@ -180,10 +180,10 @@
 		old.Version = 0
 	}
 	if old.Version != expect {
-		return 0, platform.ErrConflict
+		return 0, objectstore.ErrConflict
 	}
 	if o.Deleted && old.Version == 0 {
-		return 0, platform.ErrNotFound
+		return 0, objectstore.ErrNotFound
 	}
 	m.before = maps.Clone(m.objects)
 	m.version++
@@ -192,15 +192,15 @@
 	m.notify()
 	if m.faults.LoseAnswers > 0 {
 		m.faults.LoseAnswers--
-		return 0, platform.ErrUnknown
+		return 0, objectstore.ErrUnknown
 	}
 	return o.Version, nil
 }
 
-// Watch implements platform.Store.
-func (m *Memory) Watch(ctx context.Context, prefix string, after platform.Version, wait time.Duration) (platform.Listing, error) {
-	if err := m.begin(ctx, platform.OpWatch); err != nil {
-		return platform.Listing{}, err
+// Watch implements objectstore.Store.
+func (m *Memory) Watch(ctx context.Context, prefix string, after objectstore.Version, wait time.Duration) (objectstore.Listing, error) {
+	if err := m.begin(ctx, objectstore.OpWatch); err != nil {
+		return objectstore.Listing{}, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -211,7 +211,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return platform.Listing{}, platform.ErrUnavailable
+			return objectstore.Listing{}, objectstore.ErrUnavailable
 		case <-timer.C:
 			return l, nil
 		case <-changed:
@@ -221,16 +221,16 @@
 
 // Changes returns the changes below a prefix after a version, without waiting,
 // and a channel that is closed at the next change of the store.
-func (m *Memory) Changes(prefix string, after platform.Version) (platform.Listing, <-chan struct{}, error) {
+func (m *Memory) Changes(prefix string, after objectstore.Version) (objectstore.Listing, <-chan struct{}, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	l := platform.Listing{Version: m.version}
+	l := objectstore.Listing{Version: m.version}
 	if m.faults.SilentWatch {
 		l.Version = after
 		return l, m.changed, nil
 	}
 	if after > m.version {
-		return l, m.changed, platform.ErrExpired
+		return l, m.changed, objectstore.ErrExpired
 	}
 	for _, o := range m.objects {
 		if o.Version > after && strings.HasPrefix(o.Key, prefix) {
@@ -240,9 +240,9 @@
 	return sorted(l), m.changed, nil
 }
 
-// Instances implements platform.Store.
-func (m *Memory) Instances(ctx context.Context) ([]platform.Instance, error) {
-	if err := m.begin(ctx, platform.OpInstances); err != nil {
+// Instances implements objectstore.Store.
+func (m *Memory) Instances(ctx context.Context) ([]objectstore.Instance, error) {
+	if err := m.begin(ctx, objectstore.OpInstances); err != nil {
 		return nil, err
 	}
 	m.mu.Lock()
--- a/internal/platform/store.go
+++ b/internal/objectstore/store.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"context"
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -14,8 +14,8 @@
 
 	"guavaloom.example/guavaloom/internal/bundle"
 	"guavaloom.example/guavaloom/internal/instance"
-	"guavaloom.example/guavaloom/internal/platform"
-	"guavaloom.example/guavaloom/internal/platform/standin"
+	"guavaloom.example/guavaloom/internal/objectstore"
+	"guavaloom.example/guavaloom/internal/objectstore/standin"
 	"guavaloom.example/guavaloom/internal/rollout"
 	"guavaloom.example/guavaloom/internal/service"
 	"guavaloom.example/guavaloom/internal/target"
@@ -38,7 +38,7 @@
 	before func()
 }
 
-func (i *intercept) Put(ctx context.Context, k string, v []byte, expect platform.Version) (platform.Version, error) {
+func (i *intercept) Put(ctx context.Context, k string, v []byte, expect objectstore.Version) (objectstore.Version, error) {
 	if k == rollout.CurrentKey && i.before != nil {
 		f := i.before
 		i.before = nil
@@ -47,7 +47,7 @@
 	return i.Memory.Put(ctx, k, v, expect)
 }
 
-func newRoll(s platform.Store, b *bundle.Bundle, id string) *Roll {
+func newRoll(s objectstore.Store, b *bundle.Bundle, id string) *Roll {
 	public := key.Public().(ed25519.PublicKey)
 	pauses := 0
 	return &Roll{Store: s, Bundle: b, ID: id, Operator: "op-" + id, Signatures: []bundle.Signature{bundle.Sign(b.Digest(), key)},
@@ -60,7 +60,7 @@
 		}}
 }
 
-func setStatus(t *testing.T, s platform.Store, z string, status rollout.Status) {
+func setStatus(t *testing.T, s objectstore.Store, z string, status rollout.Status) {
 	ctx := context.Background()
 	value, err := json.Marshal(status)
 	must.NoError(t, err)
@@ -110,7 +110,7 @@
 	s.before = func() { s.SetFaults(standin.Faults{Down: true}) }
 	r := newRoll(s, testBundle(1, "a"), "down")
 	err := r.Start(ctx)
-	must.ErrorIs(t, err, platform.ErrUnavailable, must.Sprint("an outage is no refusal"))
+	must.ErrorIs(t, err, objectstore.ErrUnavailable, must.Sprint("an outage is no refusal"))
 	s.SetFaults(standin.Faults{})
 	must.NoError(t, r.Start(ctx), must.Sprint("the same roll can be made again"))
 }
@@ -118,7 +118,7 @@
 // outage begins when a manifest has been stored.
 type outage struct{ *standin.Memory }
 
-func (o *outage) Put(ctx context.Context, k string, v []byte, expect platform.Version) (platform.Version, error) {
+func (o *outage) Put(ctx context.Context, k string, v []byte, expect objectstore.Version) (objectstore.Version, error) {
 	version, err := o.Memory.Put(ctx, k, v, expect)
 	if k == rollout.CurrentKey {
 		o.SetFaults(standin.Faults{Down: true})
@@ -142,7 +142,7 @@
 	must.NoError(t, r.Start(ctx))
 	must.Eq(t, 3, pauses)
 	err := newRoll(s, testBundle(2, "a"), "long").Start(ctx)
-	must.ErrorIs(t, err, platform.ErrUnavailable)
+	must.ErrorIs(t, err, objectstore.ErrUnavailable)
 	must.ErrorContains(t, err, "revision 1.2 is stored")
 }
 
@@ -183,7 +183,7 @@
 func TestWaitAndClean(t *testing.T) {
 	ctx := context.Background()
 	s := standin.New()
-	s.SetInstances([]platform.Instance{{Ref: instance.Ref{ID: "i", Zone: "zone-1"}}})
+	s.SetInstances([]objectstore.Instance{{Ref: instance.Ref{ID: "i", Zone: "zone-1"}}})
 	setStatus(t, s, "closed", rollout.Status{})
 	must.NoError(t, newRoll(s, testBundle(1, "a"), "1").Start(ctx))
 	r := newRoll(s, testBundle(2, "a"), "2")
--- a/internal/operator/roll.go
+++ b/internal/operator/roll.go
@@ -10,14 +10,14 @@
 	"github.com/go-faster/errors"
 
 	"guavaloom.example/guavaloom/internal/bundle"
-	"guavaloom.example/guavaloom/internal/platform"
+	"guavaloom.example/guavaloom/internal/objectstore"
 	"guavaloom.example/guavaloom/internal/rollout"
 	"guavaloom.example/guavaloom/internal/zone"
 )
 
 // Roll is one attempt to bring a bundle into force.
 type Roll struct {
-	Store      platform.Store
+	Store      objectstore.Store
 	Policy     bundle.Policy
 	Bundle     *bundle.Bundle
 	Signatures []bundle.Signature
@@ -106,19 +106,19 @@
 }
 
 // readParts reads all stored parts in one call.
-func (r *Roll) readParts(ctx context.Context) (map[string]platform.Object, error) {
+func (r *Roll) readParts(ctx context.Context) (map[string]objectstore.Object, error) {
 	l, err := r.Store.List(ctx, rollout.PartPrefix)
 	if err != nil {
 		return nil, errors.Wrap(err, "read parts")
 	}
-	parts := make(map[string]platform.Object, len(l.Objects))
+	parts := make(map[string]objectstore.Object, len(l.Objects))
 	for _, o := range l.Objects {
 		parts[o.Key] = o
 	}
 	return parts, nil
 }
 
-func (r *Roll) checkAddresses(st *State, stored map[string]platform.Object) ([]bundle.Retired, error) {
+func (r *Roll) checkAddresses(st *State, stored map[string]objectstore.Object) ([]bundle.Retired, error) {
 	var prev *bundle.Bundle
 	var retired []bundle.Retired
 	if c := st.Current; c != nil {
@@ -142,7 +142,7 @@
 }
 
 // upload stores the parts that are absent or altered.
-func (r *Roll) upload(ctx context.Context, e *bundle.Encoded, stored map[string]platform.Object) error {
+func (r *Roll) upload(ctx context.Context, e *bundle.Encoded, stored map[string]objectstore.Object) error {
 	digests := slices.SortedFunc(maps.Keys(e.Parts), func(x, y bundle.Digest) int { return slices.Compare(x[:], y[:]) })
 	for _, d := range digests {
 		key, part := rollout.PartKey(d), e.Parts[d]
@@ -150,12 +150,12 @@
 		if o.Version != 0 && string(o.Value) == string(part) {
 			continue
 		}
-		_, err := platform.PutResolved(ctx, r.Store, key, part, o.Version)
-		for errors.Is(err, platform.ErrUnknown) && r.Pause(ctx, pollInterval) == nil {
-			_, err = platform.PutResolved(ctx, r.Store, key, part, o.Version)
+		_, err := objectstore.PutResolved(ctx, r.Store, key, part, o.Version)
+		for errors.Is(err, objectstore.ErrUnknown) && r.Pause(ctx, pollInterval) == nil {
+			_, err = objectstore.PutResolved(ctx, r.Store, key, part, o.Version)
 		}
 		// A conflict means that the part is there: its name is its digest.
-		if err != nil && !errors.Is(err, platform.ErrConflict) {
+		if err != nil && !errors.Is(err, objectstore.ErrConflict) {
 			return errors.Wrapf(err, "store part %s", d)
 		}
 	}
@@ -165,7 +165,7 @@
 // commit replaces the manifest if it is still the one that the checks were made
 // against. An unknown outcome is resolved by reading back the roll ID.
 func (r *Roll) commit(ctx context.Context, m *bundle.Manifest, before *Current) error {
-	var expect platform.Version
+	var expect objectstore.Version
 	if before != nil {
 		expect = before.version
 	}
@@ -174,7 +174,7 @@
 		if err == nil {
 			return nil
 		}
-		if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnknown) {
+		if !errors.Is(err, objectstore.ErrConflict) && !errors.Is(err, objectstore.ErrUnknown) {
 			return errors.Wrap(err, "store manifest")
 		}
 		now, readErr := r.readBack(ctx)
@@ -201,7 +201,7 @@
 func (r *Roll) readBack(ctx context.Context) (*Current, error) {
 	for {
 		c, err := readCurrent(ctx, r.Store)
-		if err == nil || !errors.Is(err, platform.ErrUnavailable) {
+		if err == nil || !errors.Is(err, objectstore.ErrUnavailable) {
 			return c, err
 		}
 		if r.Pause(ctx, pollInterval) != nil {
@@ -221,7 +221,7 @@
 		if err == nil {
 			return nil
 		}
-		if !errors.Is(err, platform.ErrUnavailable) || r.Pause(ctx, pollInterval) != nil {
+		if !errors.Is(err, objectstore.ErrUnavailable) || r.Pause(ctx, pollInterval) != nil {
 			return errors.Wrapf(err, "revision %s is stored, but its parts could not be checked", r.Bundle.Revision)
 		}
 	}
@@ -309,7 +309,7 @@
 	}
 	for _, key := range slices.Sorted(maps.Keys(stored)) {
 		err := r.Store.Delete(ctx, key, stored[key].Version)
-		if err != nil && !errors.Is(err, platform.ErrNotFound) && !errors.Is(err, platform.ErrConflict) {
+		if err != nil && !errors.Is(err, objectstore.ErrNotFound) && !errors.Is(err, objectstore.ErrConflict) {
 			return errors.Wrap(err, "remove old part")
 		}
 	}
--- a/internal/operator/state.go
+++ b/internal/operator/state.go
@@ -10,21 +10,21 @@
 	"github.com/go-faster/errors"
 
 	"guavaloom.example/guavaloom/internal/bundle"
-	"guavaloom.example/guavaloom/internal/platform"
+	"guavaloom.example/guavaloom/internal/objectstore"
 	"guavaloom.example/guavaloom/internal/rollout"
 	"guavaloom.example/guavaloom/internal/zone"
 )
 
 // Current describes the bundle that the store holds.
 type Current struct {
-	Revision zone.Revision    `json:"revision"`
-	Digest   string           `json:"digest"`
-	RollID   string           `json:"roll_id"`
-	Operator string           `json:"operator"`
-	Retired  []bundle.Retired `json:"retired,omitempty"`
-	version  platform.Version // of the manifest; 0 if there is none
-	manifest *bundle.Manifest // nil if there is none
-	header   *bundle.Header   // of the manifest
+	Revision zone.Revision       `json:"revision"`
+	Digest   string              `json:"digest"`
+	RollID   string              `json:"roll_id"`
+	Operator string              `json:"operator"`
+	Retired  []bundle.Retired    `json:"retired,omitempty"`
+	version  objectstore.Version // of the manifest; 0 if there is none
+	manifest *bundle.Manifest    // nil if there is none
+	header   *bundle.Header      // of the manifest
 }
 
 // State is what the store says about the installation.
@@ -42,7 +42,7 @@
 }
 
 // ReadState reads the manifest, all zone statuses and the platform's list of instances.
-func ReadState(ctx context.Context, s platform.Store) (*State, error) {
+func ReadState(ctx context.Context, s objectstore.Store) (*State, error) {
 	st := &State{Zones: make(map[string]rollout.Status)}
 	current, err := readCurrent(ctx, s)
 	if err != nil {
@@ -79,7 +79,7 @@
 	return st, nil
 }
 
-func (st *State) readZones(ctx context.Context, s platform.Store) error {
+func (st *State) readZones(ctx context.Context, s objectstore.Store) error {
 	l, err := s.List(ctx, rollout.StatusPrefix)
 	if err != nil {
 		return errors.Wrap(err, "read status of zones")
@@ -94,9 +94,9 @@
 	return nil
 }
 
-func readCurrent(ctx context.Context, s platform.Store) (*Current, error) {
+func readCurrent(ctx context.Context, s objectstore.Store) (*Current, error) {
 	o, err := s.Get(ctx, rollout.CurrentKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return nil, nil
 	}
 	if err != nil {
--- a/internal/proof/fleet.go
+++ b/internal/proof/fleet.go
@@ -13,8 +13,8 @@
 	"guavaloom.example/guavaloom/internal/bundle"
 	"guavaloom.example/guavaloom/internal/instance"
 	"guavaloom.example/guavaloom/internal/membership"
-	"guavaloom.example/guavaloom/internal/platform"
-	"guavaloom.example/guavaloom/internal/platform/standin"
+	"guavaloom.example/guavaloom/internal/objectstore"
+	"guavaloom.example/guavaloom/internal/objectstore/standin"
 	"guavaloom.example/guavaloom/internal/rollout"
 	"guavaloom.example/guavaloom/internal/target"
 	"guavaloom.example/guavaloom/internal/zone"
@@ -36,7 +36,7 @@
 	dead    bool
 	paused  bool
 	held    []func()
-	watch   *platform.Call
+	watch   *objectstore.Call
 	since   time.Duration
 	table   zone.Revision // highest seen in an installed table
 	adopted zone.Revision
@@ -101,9 +101,9 @@
 
 // list refreshes the platform's list of instances, which lags behind.
 func (f *fleet) list() {
-	var listed []platform.Instance
+	var listed []objectstore.Instance
 	for _, m := range f.live() {
-		listed = append(listed, platform.Instance{Ref: m.ref})
+		listed = append(listed, objectstore.Instance{Ref: m.ref})
 	}
 	f.store.SetInstances(listed)
 	f.after(10*time.Second, f.list)
@@ -222,7 +222,7 @@
 }
 
 // listed takes runs that are listed no longer as gone.
-func (m *member) listed(list []platform.Instance) {
+func (m *member) listed(list []objectstore.Instance) {
 	now := map[instance.ID]instance.Ref{}
 	for _, i := range list {
 		if i.Ref.Zone == m.ref.Zone {
@@ -288,16 +288,16 @@
 	}
 }
 
-func (m *member) call(c platform.Call) {
+func (m *member) call(c objectstore.Call) {
 	f := m.f
-	if c.Op == platform.OpWatch {
+	if c.Op == objectstore.OpWatch {
 		m.watch, m.since = &c, f.now
 		return
 	}
 	f.after(storeDelay+f.slow, func() {
-		r := platform.Result{Call: c, Err: platform.ErrUnavailable}
+		r := objectstore.Result{Call: c, Err: objectstore.ErrUnavailable}
 		if !f.down[m.ref.Zone] {
-			r = platform.Do(context.Background(), f.store, c)
+			r = objectstore.Do(context.Background(), f.store, c)
 		}
 		f.after(storeDelay, func() { m.do(func() { m.act(m.roll.StoreResult(f.now, r)) }) })
 	})
@@ -314,5 +314,5 @@
 		return
 	}
 	m.watch = nil
-	m.act(m.roll.StoreResult(m.f.now, platform.Result{Call: *c, Listing: l, Err: err}))
+	m.act(m.roll.StoreResult(m.f.now, objectstore.Result{Call: *c, Listing: l, Err: err}))
 }
--- a/internal/proof/rollout.go
+++ b/internal/proof/rollout.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"guavaloom.example/guavaloom/internal/bundle"
-	"guavaloom.example/guavaloom/internal/platform"
-	"guavaloom.example/guavaloom/internal/platform/standin"
+	"guavaloom.example/guavaloom/internal/objectstore"
+	"guavaloom.example/guavaloom/internal/objectstore/standin"
 	"guavaloom.example/guavaloom/internal/rollout"
 	"guavaloom.example/guavaloom/internal/service"
 	"guavaloom.example/guavaloom/internal/target"
@@ -101,7 +101,7 @@
 // that it read, or nil if the bundle cannot be rolled.
 func (f *fleet) operator(b *bundle.Bundle) func() bool {
 	current, err := f.store.Get(context.Background(), rollout.CurrentKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectstore.ErrNotFound) {
 		return func() bool { return f.write(b, nil, nil, 0) }
 	}
 	if err != nil {
@@ -126,7 +126,7 @@
 	return o.Value
 }
 
-func (f *fleet) write(b, prev *bundle.Bundle, retired []bundle.Retired, version platform.Version) bool {
+func (f *fleet) write(b, prev *bundle.Bundle, retired []bundle.Retired, version objectstore.Version) bool {
 	ctx := context.Background()
 	status := f.status()
 	if highest, _ := rollout.Highest(status); b.Revision.Compare(highest) <= 0 {
@@ -142,8 +142,8 @@
 		_, _ = f.store.Put(ctx, rollout.PartKey(d), p, 0)
 	}
 	manifest := bundle.Manifest{Header: e.Header, Signatures: []bundle.Signature{bundle.Sign(e.Digest(), f.key)}, RollID: fmt.Sprint(f.rng.Int63()), Retired: keep}
-	_, err := platform.PutResolved(ctx, f.store, rollout.CurrentKey, manifest.Encode(), version)
-	if errors.Is(err, platform.ErrConflict) {
+	_, err := objectstore.PutResolved(ctx, f.store, rollout.CurrentKey, manifest.Encode(), version)
+	if errors.Is(err, objectstore.ErrConflict) {
 		f.figures.raced++
 	}
 	return err == nil
--- a/internal/replica/plan.go
+++ b/internal/replica/plan.go
@@ -6,7 +6,7 @@
 
 	"github.com/go-faster/errors"
 
-	"guavaloom.example/guavaloom/internal/platform"
+	"guavaloom.example/guavaloom/internal/objectstore"
 )
 
 const (
@@ -34,7 +34,7 @@
 	// cursor is the version to watch from. Without events it stays one answer
 	// behind the version that the source reports, so that changes which a silent
 	// watch left out are asked for again.
-	cursor, reported platform.Version
+	cursor, reported objectstore.Version
 	failures         int
 }
 
@@ -44,18 +44,18 @@
 }
 
 // Next returns the next call of the kind.
-func (p *Plan) Next(kind string) platform.Call {
+func (p *Plan) Next(kind string) objectstore.Call {
 	if !p.listed {
-		return platform.Call{Op: platform.OpList, Key: kind}
+		return objectstore.Call{Op: objectstore.OpList, Key: kind}
 	}
-	return platform.Call{Op: platform.OpWatch, Key: kind, Version: p.cursor, Wait: p.Wait}
+	return objectstore.Call{Op: objectstore.OpWatch, Key: kind, Version: p.cursor, Wait: p.Wait}
 }
 
 // Done takes the outcome of the call and returns how long to pause. It lowers the
 // version of an answer without events to the one up to which nothing can be missing.
-func (p *Plan) Done(r *platform.Result) time.Duration {
+func (p *Plan) Done(r *objectstore.Result) time.Duration {
 	switch {
-	case errors.Is(r.Err, platform.ErrExpired):
+	case errors.Is(r.Err, objectstore.ErrExpired):
 		p.listed = false
 		return 0
 	case r.Err != nil:
@@ -64,7 +64,7 @@
 		return p.backoff()
 	}
 	p.failures = 0
-	if r.Call.Op == platform.OpList {
+	if r.Call.Op == objectstore.OpList {
 		p.listed = true
 		p.cursor, p.reported = r.Listing.Version, r.Listing.Version
 		return 0
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"guavaloom.example/guavaloom/internal/platform"
+	"guavaloom.example/guavaloom/internal/objectstore"
 )
 
 const (
@@ -31,12 +31,12 @@
 
 // kind is the copy of one kind.
 type kind struct {
-	objects map[string]platform.Object
+	objects map[string]objectstore.Object
 	// removed holds the versions of objects removed since floor.
-	removed map[string]platform.Version
+	removed map[string]objectstore.Version
 	// version is that of the newest state heard of, floor the oldest from which
 	// changes can be told.
-	version, floor platform.Version
+	version, floor objectstore.Version
 	// freshAt is the latest time at which the copy is known to have been the
 	// store's state.
 	freshAt time.Duration
@@ -49,8 +49,8 @@
 	r := &Replica{kinds: map[string]*kind{}}
 	for _, name := range kinds {
 		r.kinds[name] = &kind{
-			objects: map[string]platform.Object{},
-			removed: map[string]platform.Version{},
+			objects: map[string]objectstore.Object{},
+			removed: map[string]objectstore.Version{},
 			changed: make(chan struct{}),
 		}
 	}
@@ -60,7 +60,7 @@
 // Update is what an answer changed.
 type Update struct {
 	// Objects are the changed and the removed ones, ordered by version.
-	Objects []platform.Object
+	Objects []objectstore.Object
 	// Outage tells that removals may be due to an outage of the store.
 	Outage bool
 	// First tells that this was the first list of the kind.
@@ -71,7 +71,7 @@
 
 // List adopts the full state of a kind, unless it is older than the copy. The
 // answer was complete at the time now and describes the store at now minus its age.
-func (r *Replica) List(now time.Duration, name string, l platform.Listing) Update {
+func (r *Replica) List(now time.Duration, name string, l objectstore.Listing) Update {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	k := r.kinds[name]
@@ -100,7 +100,7 @@
 }
 
 // Events adopts the changes after the copy's version that a watch told.
-func (r *Replica) Events(now time.Duration, name string, l platform.Listing) Update {
+func (r *Replica) Events(now time.Duration, name string, l objectstore.Listing) Update {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	k := r.kinds[name]
@@ -121,12 +121,12 @@
 }
 
 func sorted(u Update) Update {
-	slices.SortStableFunc(u.Objects, func(a, b platform.Object) int { return cmp.Compare(a.Version, b.Version) })
+	slices.SortStableFunc(u.Objects, func(a, b objectstore.Object) int { return cmp.Compare(a.Version, b.Version) })
 	return u
 }
 
 // put stores an object that is newer than the copy's and reports whether it was.
-func (k *kind) put(o platform.Object) bool {
+func (k *kind) put(o objectstore.Object) bool {
 	if o.Version <= k.objects[o.Key].Version || o.Version <= k.removed[o.Key] {
 		return false
 	}
@@ -135,17 +135,17 @@
 	return true
 }
 
-func (k *kind) remove(key string, version platform.Version) platform.Object {
+func (k *kind) remove(key string, version objectstore.Version) objectstore.Object {
 	delete(k.objects, key)
 	k.removed[key] = version
 	if len(k.removed) > maxTombstones {
 		clear(k.removed)
 		k.floor = version
 	}
-	return platform.Object{Key: key, Version: version, Deleted: true}
+	return objectstore.Object{Key: key, Version: version, Deleted: true}
 }
 
-func (k *kind) advance(version platform.Version, freshAt time.Duration, changed bool) {
+func (k *kind) advance(version objectstore.Version, freshAt time.Duration, changed bool) {
 	k.version = max(k.version, version)
 	k.freshAt = max(k.freshAt, freshAt)
 	if changed {
@@ -175,7 +175,7 @@
 }
 
 // Version returns the version of the copy of a kind.
-func (r *Replica) Version(name string) platform.Version {
+func (r *Replica) Version(name string) objectstore.Version {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.kinds[name].version
@@ -188,19 +188,19 @@
 // those changed since, with ErrExpired if they are no longer known and
 // ErrUnavailable if the kind was never listed. The channel is closed at the next
 // change.
-func (r *Replica) Changes(now time.Duration, name string, after platform.Version) (platform.Listing, <-chan struct{}, error) {
+func (r *Replica) Changes(now time.Duration, name string, after objectstore.Version) (objectstore.Listing, <-chan struct{}, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	k := r.kinds[name]
 	if k == nil {
-		return platform.Listing{}, nil, platform.ErrNotFound
+		return objectstore.Listing{}, nil, objectstore.ErrNotFound
 	}
-	l := platform.Listing{Version: k.version, Age: now - k.freshAt, Outage: r.recentOutage(now)}
+	l := objectstore.Listing{Version: k.version, Age: now - k.freshAt, Outage: r.recentOutage(now)}
 	switch {
 	case !k.listed:
-		return l, k.changed, platform.ErrUnavailable
+		return l, k.changed, objectstore.ErrUnavailable
 	case after > 0 && after < k.floor:
-		return l, k.changed, platform.ErrExpired
+		return l, k.changed, objectstore.ErrExpired
 	}
 	for _, o := range k.objects {
 		if o.Version > after {
@@ -209,9 +209,9 @@
 	}
 	for key, version := range k.removed {
 		if after > 0 && version > after {
-			l.Objects = append(l.Objects, platform.Object{Key: key, Version: version, Deleted: true})
+			l.Objects = append(l.Objects, objectstore.Object{Key: key, Version: version, Deleted: true})
 		}
 	}
-	slices.SortFunc(l.Objects, func(a, b platform.Object) int { return cmp.Compare(a.Version, b.Version) })
+	slices.SortFunc(l.Objects, func(a, b objectstore.Object) int { return cmp.Compare(a.Version, b.Version) })
 	return l, k.changed, nil
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -8,19 +8,19 @@
 
 	"github.com/shoenig/test/must"
 
-	"guavaloom.example/guavaloom/internal/platform"
+	"guavaloom.example/guavaloom/internal/objectstore"
 )
 
-func object(key string, version platform.Version) platform.Object {
-	return platform.Object{Key: key, Version: version, Value: []byte(`"x"`)}
+func object(key string, version objectstore.Version) objectstore.Object {
+	return objectstore.Object{Key: key, Version: version, Value: []byte(`"x"`)}
 }
 
-func listing(version platform.Version, objects ...platform.Object) platform.Listing {
-	return platform.Listing{Version: version, Objects: objects}
+func listing(version objectstore.Version, objects ...objectstore.Object) objectstore.Listing {
+	return objectstore.Listing{Version: version, Objects: objects}
 }
 
-func removed(key string, version platform.Version) platform.Object {
-	return platform.Object{Key: key, Version: version, Deleted: true}
+func removed(key string, version objectstore.Version) objectstore.Object {
+	return objectstore.Object{Key: key, Version: version, Deleted: true}
 }
 
 // Guards against a stale list, from a restored or lagging source, that undoes what
@@ -43,7 +43,7 @@
 	r := New("k")
 	r.List(0, "k", listing(10, object("k/a", 4), object("k/b", 9)))
 	u := r.List(0, "k", listing(12, object("k/b", 9)))
-	must.Eq(t, []platform.Object{removed("k/a", 12)}, u.Objects)
+	must.Eq(t, []objectstore.Object{removed("k/a", 12)}, u.Objects)
 	must.False(t, u.First)
 }
 
@@ -79,7 +79,7 @@
 // Guards against a belief whose age is hidden when it is passed on.
 func TestAgeIsPassedOn(t *testing.T) {
 	r, follower := New("k"), New("k")
-	r.List(10*time.Second, "k", platform.Listing{Version: 10, Age: time.Second})
+	r.List(10*time.Second, "k", objectstore.Listing{Version: 10, Age: time.Second})
 	l, _, err := r.Changes(12*time.Second, "k", 0)
 	must.NoError(t, err)
 	must.Eq(t, 3*time.Second, l.Age)
@@ -93,16 +93,16 @@
 func TestChangesExpire(t *testing.T) {
 	r := New("k")
 	_, _, err := r.Changes(0, "k", 0)
-	must.ErrorIs(t, err, platform.ErrUnavailable)
+	must.ErrorIs(t, err, objectstore.ErrUnavailable)
 	_, _, err = r.Changes(0, "none", 0)
-	must.ErrorIs(t, err, platform.ErrNotFound)
+	must.ErrorIs(t, err, objectstore.ErrNotFound)
 	r.List(0, "k", listing(10, object("k/a", 4)))
 	_, _, err = r.Changes(0, "k", 9)
-	must.ErrorIs(t, err, platform.ErrExpired)
+	must.ErrorIs(t, err, objectstore.ErrExpired)
 	r.Events(0, "k", listing(15, removed("k/a", 15), object("k/b", 13)))
 	l, _, err := r.Changes(0, "k", 10)
 	must.NoError(t, err)
-	must.Eq(t, []platform.Object{object("k/b", 13), removed("k/a", 15)}, l.Objects)
+	must.Eq(t, []objectstore.Object{object("k/b", 13), removed("k/a", 15)}, l.Objects)
 }
 
 // Guards against the calls between instances drifting apart: client and handler.
@@ -110,25 +110,25 @@
 	r := New("k")
 	server := httptest.NewServer(r.Handler(func() time.Duration { return 0 }))
 	defer server.Close()
-	c := platform.New(platform.Config{URL: server.URL, Attempts: 1})
+	c := objectstore.New(objectstore.Config{URL: server.URL, Attempts: 1})
 	_, err := c.List(t.Context(), "k")
-	must.ErrorIs(t, err, platform.ErrUnavailable)
+	must.ErrorIs(t, err, objectstore.ErrUnavailable)
 	r.List(0, "k", listing(10, object("k/a", 4)))
 	l, err := c.List(t.Context(), "k")
 	must.NoError(t, err)
-	must.Eq(t, []platform.Object{object("k/a", 4)}, l.Objects)
+	must.Eq(t, []objectstore.Object{object("k/a", 4)}, l.Objects)
 	go r.Events(0, "k", listing(11, object("k/b", 11)))
 	l, err = c.Watch(t.Context(), "k", 10, 10*time.Second)
 	must.NoError(t, err)
-	must.Eq(t, []platform.Object{object("k/b", 11)}, l.Objects)
+	must.Eq(t, []objectstore.Object{object("k/b", 11)}, l.Objects)
 	_, err = c.Watch(t.Context(), "k", 5, time.Second)
-	must.ErrorIs(t, err, platform.ErrExpired)
+	must.ErrorIs(t, err, objectstore.ErrExpired)
 }
 
 func newPlan() *Plan { return NewPlan(time.Second, rand.New(rand.NewSource(1))) }
 
-func done(p *Plan, l platform.Listing, err error) time.Duration {
-	r := platform.Result{Call: p.Next("k"), Listing: l, Err: err}
+func done(p *Plan, l objectstore.Listing, err error) time.Duration {
+	r := objectstore.Result{Call: p.Next("k"), Listing: l, Err: err}
 	return p.Done(&r)
 }
 
@@ -136,9 +136,9 @@
 // reports their version: the next watch asks for them once more.
 func TestPlanLagsBehindEmptyAnswers(t *testing.T) {
 	p := newPlan()
-	must.Eq(t, platform.OpList, p.Next("k").Op)
+	must.Eq(t, objectstore.OpList, p.Next("k").Op)
 	done(p, listing(10), nil)
-	r := platform.Result{Call: p.Next("k"), Listing: listing(30)}
+	r := objectstore.Result{Call: p.Next("k"), Listing: listing(30)}
 	must.Eq(t, 10, r.Call.Version)
 	p.Done(&r)
 	must.Eq(t, 10, r.Listing.Version) // nothing is claimed beyond what is sure
@@ -154,13 +154,13 @@
 func TestPlanListsAfterFailures(t *testing.T) {
 	p := newPlan()
 	done(p, listing(10), nil)
-	must.Eq(t, 0, done(p, platform.Listing{}, platform.ErrExpired))
-	must.Eq(t, platform.OpList, p.Next("k").Op)
+	must.Eq(t, 0, done(p, objectstore.Listing{}, objectstore.ErrExpired))
+	must.Eq(t, objectstore.OpList, p.Next("k").Op)
 	done(p, listing(20), nil)
 	last := time.Duration(0)
 	for range 12 {
-		last = done(p, platform.Listing{}, platform.ErrUnavailable)
-		must.Eq(t, platform.OpList, p.Next("k").Op)
+		last = done(p, objectstore.Listing{}, objectstore.ErrUnavailable)
+		must.Eq(t, objectstore.OpList, p.Next("k").Op)
 		must.Greater(t, firstPause/4, last)
 	}
 	must.Between(t, maxPause/2, last, maxPause*3/2)
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -8,14 +8,14 @@
 
 	"github.com/go-faster/errors"
 
-	"guavaloom.example/guavaloom/internal/platform"
+	"guavaloom.example/guavaloom/internal/objectstore"
 )
 
 // maxWait is the longest wait of another instance's watch.
 const maxWait = 30 * time.Second
 
 // Handler serves the replica to other instances with the list and watch calls of
-// the object API in package platform, where the prefix is the kind. now reads the
+// the object API in package objectstore, where the prefix is the kind. now reads the
 // steady clock.
 func (r *Replica) Handler(now func() time.Duration) http.Handler {
 	mux := http.NewServeMux()
@@ -33,12 +33,12 @@
 	return mux
 }
 
-func parseVersion(s string) (platform.Version, error) {
+func parseVersion(s string) (objectstore.Version, error) {
 	if s == "" {
 		return 0, nil
 	}
 	n, err := strconv.ParseUint(s, 10, 64)
-	return platform.Version(n), err
+	return objectstore.Version(n), err
 }
 
 func parseWait(s string) (time.Duration, error) {
@@ -54,7 +54,7 @@
 }
 
 // await answers at the first change after the version, or when the wait is over.
-func (r *Replica) await(req *http.Request, now func() time.Duration, kind string, after platform.Version, wait time.Duration) (platform.Listing, error) {
+func (r *Replica) await(req *http.Request, now func() time.Duration, kind string, after objectstore.Version, wait time.Duration) (objectstore.Listing, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -64,7 +64,7 @@
 		}
 		select {
 		case <-req.Context().Done():
-			return l, platform.ErrUnavailable
+			return l, objectstore.ErrUnavailable
 		case <-timer.C:
 			l, _, err = r.Changes(now(), kind, after)
 			return l, err
@@ -73,14 +73,14 @@
 	}
 }
 
-func reply(w http.ResponseWriter, l platform.Listing, err error) {
+func reply(w http.ResponseWriter, l objectstore.Listing, err error) {
 	switch {
 	case err == nil:
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(l) // fails only when the caller is gone
-	case errors.Is(err, platform.ErrExpired):
+	case errors.Is(err, objectstore.ErrExpired):
 		http.Error(w, err.Error(), http.StatusGone)
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objectstore.ErrNotFound):
 		http.Error(w, err.Error(), http.StatusNotFound)
 	default:
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
--- a/internal/rollout/doc.go
+++ b/internal/rollout/doc.go
@@ -13,7 +13,7 @@
 //   - call Tick about every 200 ms, and SetView when members, leader or the
 //     platform's list change;
 //   - carry Send to the peer and give its messages to Receive; loss is tolerated;
-//   - make each StoreCall with platform.Do, without blocking the Node, and give
+//   - make each StoreCall with objectstore.Do, without blocking the Node, and give
 //     the outcome to StoreResult;
 //   - on the zone's leader, propose the bundle of Adopt without the uses in
 //     Withheld; a new leader begins with Bundle and Withheld;
--- a/internal/rollout/fleet_test.go
+++ b/internal/rollout/fleet_test.go
@@ -17,8 +17,8 @@
 
 	"guavaloom.example/guavaloom/internal/bundle"
 	"guavaloom.example/guavaloom/internal/instance"
-	"guavaloom.example/guavaloom/internal/platform"
-	"guavaloom.example/guavaloom/internal/platform/standin"
+	"guavaloom.example/guavaloom/internal/objectstore"
+	"guavaloom.example/guavaloom/internal/objectstore/standin"
 	"guavaloom.example/guavaloom/internal/service"
 	"guavaloom.example/guavaloom/internal/target"
 	"guavaloom.example/guavaloom/internal/zone"
@@ -34,7 +34,7 @@
 	pinned              []bundle.Use
 	dead, paused, leads bool
 	stale               bool // has not installed the zone's newest table
-	watch               *platform.Call
+	watch               *objectstore.Call
 	since               time.Duration
 	received            int // bytes of messages, as CBOR without framing
 }
@@ -92,10 +92,10 @@
 // refresh gives every node a view in which the first live instance leads its zone.
 func (f *fleet) refresh() {
 	remote := map[string][]instance.Ref{}
-	var listed []platform.Instance
+	var listed []objectstore.Instance
 	for _, m := range f.live("") {
 		remote[m.ref.Zone] = append(remote[m.ref.Zone], m.ref)
-		listed = append(listed, platform.Instance{Ref: m.ref})
+		listed = append(listed, objectstore.Instance{Ref: m.ref})
 	}
 	f.store.SetInstances(listed)
 	for _, m := range f.live("") {
@@ -152,21 +152,21 @@
 	}
 }
 
-func (f *fleet) call(m *member, c platform.Call) {
+func (f *fleet) call(m *member, c objectstore.Call) {
 	switch {
 	case f.cutStore[m.ref.Zone]:
-		f.answer(m, platform.Result{Call: c, Err: platform.ErrUnavailable})
-	case c.Op == platform.OpWatch:
+		f.answer(m, objectstore.Result{Call: c, Err: objectstore.ErrUnavailable})
+	case c.Op == objectstore.OpWatch:
 		m.watch, m.since = &c, f.now
 		c.Wait = 0
 		_, _ = f.store.Watch(context.Background(), c.Key, c.Version, 0) // counts the call
 	default:
-		f.answer(m, platform.Do(context.Background(), f.store, c))
+		f.answer(m, objectstore.Do(context.Background(), f.store, c))
 	}
 }
 
 // answer brings a store result one hop later.
-func (f *fleet) answer(m *member, r platform.Result) {
+func (f *fleet) answer(m *member, r objectstore.Result) {
 	f.results = append(f.results, func() {
 		if !m.dead {
 			f.do(m, m.node.StoreResult(f.now, r))
@@ -184,7 +184,7 @@
 		return
 	}
 	m.watch = nil
-	f.do(m, m.node.StoreResult(f.now, platform.Result{Call: *c, Listing: l, Err: err}))
+	f.do(m, m.node.StoreResult(f.now, objectstore.Result{Call: *c, Listing: l, Err: err}))
 }
 
 // run lets virtual time pass.
--- a/internal/rollout/message.go
+++ b/internal/rollout/message.go
@@ -3,7 +3,7 @@
 import (
 	"guavaloom.example/guavaloom/internal/bundle"
 	"guavaloom.example/guavaloom/internal/instance"
-	"guavaloom.example/guavaloom/internal/platform"
+	"guavaloom.example/guavaloom/internal/objectstore"
 	"guavaloom.example/guavaloom/internal/zone"
 )
 
@@ -62,7 +62,7 @@
 }
 
 // StoreCall makes a store call and passes the result to Node.StoreResult.
-type StoreCall struct{ Call platform.Call }
+type StoreCall struct{ Call objectstore.Call }
 
 // Adopt gives the bundle that the instance now holds. Addresses in Withheld must
 // not be used yet: a table or pin refers to them under another service. Adopt
@@ -73,7 +73,7 @@
 }
 
 // Listed gives the platform's list of instances after a successful poll.
-type Listed struct{ Instances []platform.Instance }
+type Listed struct{ Instances []objectstore.Instance }
 
 // Report is an event worth a log line and a counter.
 type Report struct {
--- a/internal/rollout/node.go
+++ b/internal/rollout/node.go
@@ -8,7 +8,7 @@
 
 	"guavaloom.example/guavaloom/internal/bundle"
 	"guavaloom.example/guavaloom/internal/instance"
-	"guavaloom.example/guavaloom/internal/platform"
+	"guavaloom.example/guavaloom/internal/objectstore"
 	"guavaloom.example/guavaloom/internal/rendezvous"
 	"guavaloom.example/guavaloom/internal/zone"
 )
@@ -210,7 +210,7 @@
 }
 
 // StoreResult handles the outcome of a StoreCall. Results of abandoned calls are ignored.
-func (n *Node) StoreResult(now time.Duration, r platform.Result) []Action {
+func (n *Node) StoreResult(now time.Duration, r objectstore.Result) []Action {
 	n.start(now)
 	n.onStore(now, r)
 	return n.take()
--- a/internal/rollout/reader.go
+++ b/internal/rollout/reader.go
@@ -8,7 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"guavaloom.example/guavaloom/internal/bundle"
-	"guavaloom.example/guavaloom/internal/platform"
+	"guavaloom.example/guavaloom/internal/objectstore"
 )
 
 // Keys of the store.
@@ -94,7 +94,7 @@
 	}
 }
 
-func (n *Node) call(now time.Duration, p purpose, c platform.Call) {
+func (n *Node) call(now time.Duration, p purpose, c objectstore.Call) {
 	n.reader.lastID++
 	c.ID = n.reader.lastID
 	n.reader.pending[c.ID] = pending{p, now + c.Wait + callTimeout}
@@ -106,7 +106,7 @@
 	n.expireCalls(now)
 	if (r.active || n.leader.active) && now >= r.nextInstances {
 		r.nextInstances = now + instancesInterval
-		n.call(now, forInstances, platform.Call{Op: platform.OpInstances})
+		n.call(now, forInstances, objectstore.Call{Op: objectstore.OpInstances})
 	}
 	if !r.active {
 		return
@@ -118,7 +118,7 @@
 	if !r.watching && now >= r.nextList {
 		r.watching = true
 		r.relist = now + relistInterval
-		n.call(now, forList, platform.Call{Op: platform.OpList, Key: BundlePrefix})
+		n.call(now, forList, objectstore.Call{Op: objectstore.OpList, Key: BundlePrefix})
 	}
 }
 
@@ -150,13 +150,13 @@
 	r.nextList = now + time.Duration(float64(r.backoff)*(0.5+n.rng.Float64()))
 }
 
-func (n *Node) onStore(now time.Duration, res platform.Result) {
+func (n *Node) onStore(now time.Duration, res objectstore.Result) {
 	p, expected := n.reader.pending[res.Call.ID]
 	if !expected {
 		return
 	}
 	delete(n.reader.pending, res.Call.ID)
-	if res.Err != nil && !errors.Is(res.Err, platform.ErrNotFound) && !errors.Is(res.Err, platform.ErrConflict) {
+	if res.Err != nil && !errors.Is(res.Err, objectstore.ErrNotFound) && !errors.Is(res.Err, objectstore.ErrConflict) {
 		n.report(StoreFailed, fmt.Sprintf("%s %s: %v", res.Call.Op, res.Call.Key, res.Err))
 	}
 	switch p.purpose {
@@ -178,7 +178,7 @@
 // onPartRead goes on with the fetch when all reads under way are answered. Reads
 // that brought nothing new are repeated by tickFetch only, so that an altered or
 // missing part does not cause a burst of calls.
-func (n *Node) onPartRead(now time.Duration, res platform.Result) {
+func (n *Node) onPartRead(now time.Duration, res objectstore.Result) {
 	f := n.fetch
 	if res.Err != nil || f == nil {
 		return
@@ -199,7 +199,7 @@
 	}
 }
 
-func values(l platform.Listing) [][]byte {
+func values(l objectstore.Listing) [][]byte {
 	var v [][]byte
 	for _, o := range l.Objects {
 		v = append(v, o.Value)
@@ -208,7 +208,7 @@
 }
 
 // onBundleRead handles the answer of a list or watch and watches on.
-func (n *Node) onBundleRead(now time.Duration, res platform.Result) {
+func (n *Node) onBundleRead(now time.Duration, res objectstore.Result) {
 	if !n.reader.active {
 		return
 	}
@@ -222,7 +222,7 @@
 			n.onManifest(now, o.Value)
 		}
 	}
-	n.call(now, forWatch, platform.Call{Op: platform.OpWatch, Key: BundlePrefix, Version: res.Listing.Version, Wait: watchWait})
+	n.call(now, forWatch, objectstore.Call{Op: objectstore.OpWatch, Key: BundlePrefix, Version: res.Listing.Version, Wait: watchWait})
 }
 
 // onManifest handles the store's manifest, which may be stale, restored or altered.
@@ -268,10 +268,10 @@
 	n.fetch.progress = false
 	missing := n.fetch.missing
 	if len(missing) > partsAtOnce {
-		n.call(now, forPart, platform.Call{Op: platform.OpList, Key: PartPrefix})
+		n.call(now, forPart, objectstore.Call{Op: objectstore.OpList, Key: PartPrefix})
 		return
 	}
 	for _, d := range missing {
-		n.call(now, forPart, platform.Call{Op: platform.OpGet, Key: PartKey(d)})
+		n.call(now, forPart, objectstore.Call{Op: objectstore.OpGet, Key: PartKey(d)})
 	}
 }
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -15,8 +15,8 @@
 
 	"guavaloom.example/guavaloom/internal/bundle"
 	"guavaloom.example/guavaloom/internal/instance"
-	"guavaloom.example/guavaloom/internal/platform"
-	"guavaloom.example/guavaloom/internal/platform/standin"
+	"guavaloom.example/guavaloom/internal/objectstore"
+	"guavaloom.example/guavaloom/internal/objectstore/standin"
 	"guavaloom.example/guavaloom/internal/service"
 	"guavaloom.example/guavaloom/internal/target"
 	"guavaloom.example/guavaloom/internal/zone"
@@ -113,7 +113,7 @@
 		n.Tick(0)
 		for id, p := range n.reader.pending {
 			if p.purpose == forList {
-				n.StoreResult(after, platform.Result{Call: platform.Call{ID: id}, Listing: platform.Listing{Objects: []platform.Object{{Key: CurrentKey, Value: old}}}})
+				n.StoreResult(after, objectstore.Result{Call: objectstore.Call{ID: id}, Listing: objectstore.Listing{Objects: []objectstore.Object{{Key: CurrentKey, Value: old}}}})
 			}
 		}
 		return n
@@ -272,9 +272,9 @@
 	}
 	replace("x")
 	f.run(settle)
-	calls := f.store.Calls()[platform.OpGet]
+	calls := f.store.Calls()[objectstore.OpGet]
 	f.run(settle)
-	must.Less(t, 20, f.store.Calls()[platform.OpGet]-calls, must.Sprint("reads are repeated with backoff"))
+	must.Less(t, 20, f.store.Calls()[objectstore.OpGet]-calls, must.Sprint("reads are repeated with backoff"))
 	for _, m := range f.members {
 		must.Eq(t, zone.Revision{}, m.node.Held())
 	}
@@ -441,7 +441,7 @@
 			total += n - before[op]
 		}
 		rates = append(rates, float64(total)/120)
-		t.Logf("%3d instances a zone: %.3f calls/s, put %d", size, rates[len(rates)-1], f.store.Calls()[platform.OpPut]-before[platform.OpPut])
+		t.Logf("%3d instances a zone: %.3f calls/s, put %d", size, rates[len(rates)-1], f.store.Calls()[objectstore.OpPut]-before[objectstore.OpPut])
 	}
 	slope := (rates[2] - rates[0]) / (137 - 7)
 	t.Logf("slope %.5f calls/s per instance", slope)
--- a/internal/rollout/status.go
+++ b/internal/rollout/status.go
@@ -11,7 +11,7 @@
 
 	"guavaloom.example/guavaloom/internal/bundle"
 	"guavaloom.example/guavaloom/internal/instance"
-	"guavaloom.example/guavaloom/internal/platform"
+	"guavaloom.example/guavaloom/internal/objectstore"
 	"guavaloom.example/guavaloom/internal/zone"
 )
 
@@ -71,7 +71,7 @@
 	inForce   zone.Revision
 	// stored is the last known content of the status object; known tells whether it is current.
 	stored  []byte
-	version platform.Version
+	version objectstore.Version
 	known   bool
 	busy    bool
 	next    time.Duration
@@ -160,7 +160,7 @@
 	}
 	if !l.known || now >= l.reread {
 		l.busy = true
-		n.call(now, forStatusRead, platform.Call{Op: platform.OpGet, Key: n.statusKey()})
+		n.call(now, forStatusRead, objectstore.Call{Op: objectstore.OpGet, Key: n.statusKey()})
 		return
 	}
 	value := n.merge()
@@ -169,7 +169,7 @@
 	}
 	l.busy = true
 	l.next = now + statusInterval
-	n.call(now, forStatusWrite, platform.Call{Op: platform.OpPut, Key: n.statusKey(), Value: value, Version: l.version})
+	n.call(now, forStatusWrite, objectstore.Call{Op: objectstore.OpPut, Key: n.statusKey(), Value: value, Version: l.version})
 }
 
 func (n *Node) statusKey() string { return StatusPrefix + n.cfg.Self.Zone }
@@ -265,7 +265,7 @@
 	return list
 }
 
-func (n *Node) onStatusRead(now time.Duration, res platform.Result) {
+func (n *Node) onStatusRead(now time.Duration, res objectstore.Result) {
 	l := &n.leader
 	l.busy = false
 	switch {
@@ -276,7 +276,7 @@
 		if json.Unmarshal(o.Value, &s) == nil && s.InForce.Compare(l.inForce) > 0 {
 			l.inForce = s.InForce
 		}
-	case errors.Is(res.Err, platform.ErrNotFound):
+	case errors.Is(res.Err, objectstore.ErrNotFound):
 		l.stored, l.version = nil, 0
 	default:
 		l.next = now + n.retryDelay()
@@ -287,7 +287,7 @@
 
 // onStatusWritten reads the object again unless the write is certain: after a
 // lost answer, a conflict with a former leader, or an outage.
-func (n *Node) onStatusWritten(now time.Duration, res platform.Result) {
+func (n *Node) onStatusWritten(now time.Duration, res objectstore.Result) {
 	l := &n.leader
 	l.busy = false
 	if res.Err != nil {
