Take a removed target for ended only after a grace and a fresh answer

Cause: entries lapsed while the store refused calls; a watch that was waiting told of the removal at once, so that the instance had noticed no outage and took the targets for ended. Any removal is now uncertain for 3 s, counted from the last outage that this instance or its source noticed, and until the store has answered since. Ruled out: token mix-ups (the resets bear target_ended) and address reuse (the targets' own addresses).

--- a/internal/edge/packets.go
+++ b/internal/edge/packets.go
@@ -104,13 +104,13 @@
 	switch {
 	case d.Reason != "":
 		r.config = i.forward.View.Config().Version
-		r.configAge, r.targetAge = now-i.forward.ConfigFreshAt, now-i.forward.TargetsFreshAt
+		r.configAge, r.targetAge = now-i.forward.View.ConfigFreshAt, now-i.forward.View.TargetsFreshAt
 	case len(s.Data) > 0:
 		if r.request = i.platform.RequestID(s.Data); r.request == "" {
 			return
 		}
 		class = requestClass
-		r.configAge, r.targetAge = -1, now-i.forward.TargetsFreshAt
+		r.configAge, r.targetAge = -1, now-i.forward.View.TargetsFreshAt
 	default:
 		return
 	}
--- a/internal/edge/reading.go
+++ b/internal/edge/reading.go
@@ -211,7 +211,7 @@
 	if res.Err != nil {
 		expired := errors.Is(res.Err, objectstore.ErrExpired)
 		if source == "store" && !expired {
-			i.replica.StoreFailed(now)
+			i.storeFailed(now)
 		}
 		if !lost || expired {
 			age, _ := i.replica.Age(now, kind)
@@ -228,6 +228,14 @@
 	return false
 }
 
+// storeFailed records that the store did not answer.
+func (i *Instance) storeFailed(now time.Duration) {
+	i.replica.StoreFailed(now)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.forward.View.OutageAt = now
+}
+
 // errorName names the error of a call for counters.
 func errorName(err error) string {
 	for name, e := range map[string]error{
@@ -255,14 +263,17 @@
 		u = i.replica.Events(now, kind, res.Listing)
 	}
 	age, _ := i.replica.Age(now, kind)
+	if u.Outage {
+		i.forward.View.OutageAt = now
+	}
 	for _, o := range u.Objects {
-		i.adoptObject(now, kind, source, o, u.Outage)
+		i.adoptObject(now, kind, source, o)
 	}
 	switch kind {
 	case i.platform.ConfigKind:
-		i.forward.ConfigFreshAt = now - age
+		i.forward.View.ConfigFreshAt = now - age
 	case i.platform.TargetKind:
-		i.forward.TargetsFreshAt = now - age
+		i.forward.View.TargetsFreshAt = now - age
 		if u.First {
 			i.forward.View.MarkListed()
 		}
@@ -280,13 +291,13 @@
 	}
 }
 
-func (i *Instance) adoptObject(now time.Duration, kind, source string, o objectstore.Object, outage bool) {
+func (i *Instance) adoptObject(now time.Duration, kind, source string, o objectstore.Object) {
 	_, name, _ := strings.Cut(o.Key, "/")
 	switch kind {
 	case i.platform.ConfigKind:
 		i.adoptConfig(name, source, o)
 	case i.platform.TargetKind:
-		i.adoptTarget(now, name, source, o, outage)
+		i.adoptTarget(now, name, source, o)
 	case i.platform.InstanceKind:
 		i.adoptInstance(name, o)
 	}
@@ -313,13 +324,13 @@
 	}
 }
 
-func (i *Instance) adoptTarget(now time.Duration, name, source string, o objectstore.Object, outage bool) {
+func (i *Instance) adoptTarget(now time.Duration, name, source string, o objectstore.Object) {
 	var change view.Change
 	var t *view.Target
 	v := i.forward.View
 	switch {
 	case o.Deleted:
-		t, change = v.Remove(now, target.ID(name), uint64(o.Version), outage)
+		t, change = v.Remove(now, target.ID(name), uint64(o.Version))
 	default:
 		e, err := i.platform.Entries.Target(name, o.Value)
 		if err != nil {
--- a/internal/edge/status.go
+++ b/internal/edge/status.go
@@ -39,7 +39,7 @@
 	case i.forward.View.Ended(now, t):
 		state = "ended"
 	case t.Missing:
-		state = "lapsed"
+		state = "removed"
 	case t.Draining:
 		state = "draining"
 	case t.Unreadable:
--- a/internal/explain/edge.go
+++ b/internal/explain/edge.go
@@ -32,7 +32,7 @@
 	Target  string `json:"target"`
 	Service string `json:"service"`
 	Zone    string `json:"zone"`
-	// State is ready, draining, suspected, unreadable, lapsed or ended.
+	// State is ready, draining, suspected, unreadable, removed or ended.
 	State string `json:"state"`
 	// Open and Busy count flows and requests in flight that pass this instance.
 	Open          int   `json:"open"`
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -52,9 +52,6 @@
 // Forwarder decides on packets. It is not safe for concurrent use.
 type Forwarder struct {
 	View *view.View
-	// ConfigFreshAt and TargetsFreshAt are when the view's parts were last known to
-	// be the store's state.
-	ConfigFreshAt, TargetsFreshAt time.Duration
 
 	chooser  chooser
 	flows    *table
@@ -152,7 +149,7 @@
 }
 
 func (f *Forwarder) noRoute(now time.Duration) Decision {
-	if now > f.ConfigFreshAt+freshEnough {
+	if now > f.View.ConfigFreshAt+freshEnough {
 		return Decision{Reason: RouteUnsure}
 	}
 	return Decision{Verdict: Reset, Reason: NoRoute}
@@ -242,7 +239,7 @@
 	switch {
 	case !seen && len(f.unknown) < maxUnknown:
 		f.unknown[s.Token] = now
-	case seen && now >= since+unknownGrace && f.TargetsFreshAt >= since+unknownGrace/2:
+	case seen && now >= since+unknownGrace && f.View.TargetsFreshAt >= since+unknownGrace/2:
 		d.Verdict, d.Seq = Reset, s.Ack
 	}
 	return d
--- a/internal/forwarding/placement.go
+++ b/internal/forwarding/placement.go
@@ -13,7 +13,7 @@
 	// request next to nothing.
 	remotePenalty       = 2
 	remoteUploadPenalty = 6
-	// suspectPenalty puts silent and lapsed targets behind all others.
+	// suspectPenalty puts silent targets and those without an entry behind all others.
 	suspectPenalty = 1000
 )
 
--- a/internal/objectstore/store.go
+++ b/internal/objectstore/store.go
@@ -30,8 +30,8 @@
 	Objects []Object `json:"objects"`
 	// Age is how old the state may be when a replica answers in place of the store.
 	Age time.Duration `json:"age,omitempty"`
-	// Outage tells that the replica could not reach the store recently, so that a
-	// removed object may have expired only because its owner could not renew it.
+	// Outage tells that the replica's instance could not reach the store recently, so
+	// that objects may have expired only because their owners could not renew them.
 	Outage bool `json:"outage,omitempty"`
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -11,10 +11,9 @@
 )
 
 const (
-	// outageMemory is how long after a failed call to the store removals are
-	// reported as uncertain. It covers the users' two seconds within which entries
-	// that expired during an outage are back, and the pause between two retries.
-	outageMemory = 3 * time.Second
+	// outageMemory is how long a failed call to the store counts as an outage. It
+	// exceeds the pause between two retries.
+	outageMemory = 2 * time.Second
 	// maxTombstones bounds the removals that a watcher can be told of; a watcher
 	// that is further behind lists again.
 	maxTombstones = 4096
@@ -61,7 +60,7 @@
 type Update struct {
 	// Objects are the changed and the removed ones, ordered by version.
 	Objects []objectstore.Object
-	// Outage tells that removals may be due to an outage of the store.
+	// Outage tells that the store did not answer lately, as another instance tells.
 	Outage bool
 	// First tells that this was the first list of the kind.
 	First bool
@@ -78,7 +77,7 @@
 	if k.listed && l.Version < k.version {
 		return Update{Stale: true}
 	}
-	u := Update{First: !k.listed, Outage: l.Outage || r.recentOutage(now)}
+	u := Update{First: !k.listed, Outage: l.Outage}
 	present := make(map[string]bool, len(l.Objects))
 	for _, o := range l.Objects {
 		present[o.Key] = true
@@ -104,7 +103,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	k := r.kinds[name]
-	u := Update{Outage: l.Outage || r.recentOutage(now), Stale: l.Version < k.version}
+	u := Update{Outage: l.Outage, Stale: l.Version < k.version}
 	for _, o := range l.Objects {
 		if o.Deleted {
 			if old, ok := k.objects[o.Key]; ok && o.Version >= old.Version {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -1,3 +1,5 @@
+//go:build linux
+
 package soak
 
 import (
@@ -45,6 +47,8 @@
 	i.cmd = exec.Command(i.program)
 	i.cmd.Env = []string{"GUAVALOOM_SETTINGS=" + i.file}
 	i.cmd.Stdout, i.cmd.Stderr = i.log, i.log
+	// The process ends with the soak, also if that is killed.
+	i.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := i.cmd.Start(); err != nil {
 		return errors.Wrap(err, i.name)
 	}
--- a/internal/view/types.go
+++ b/internal/view/types.go
@@ -120,9 +120,6 @@
 	// MissingSince is when the entry was found removed; Missing tells whether it is.
 	Missing      bool
 	MissingSince time.Duration
-	// Lapsed marks a missing entry that may have expired only because the store
-	// was away; the target may still live.
-	Lapsed bool
 }
 
 // String names the target and its service for logs.
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -10,10 +10,11 @@
 )
 
 const (
-	// lapseGrace is how long an entry that lapsed during an outage of the store
-	// may take to come back. The users state about two seconds after the store's
-	// return; the rest is for the way through the store and the peers.
-	lapseGrace = 3 * time.Second
+	// returnGrace is how long a removed entry may take to come back. An entry that
+	// lapsed while the store was away is back about two seconds after the store, as
+	// the users state; the rest is for the way through the store and the peers. An
+	// instance can be told of the removal without having noticed the outage.
+	returnGrace = 3 * time.Second
 	// forgetAfter is how long a removed target stays known. It exceeds the
 	// longest life of a flow that the users state (60 s).
 	forgetAfter = 90 * time.Second
@@ -21,6 +22,12 @@
 
 // View is an instance's belief. It is not safe for concurrent use.
 type View struct {
+	// ConfigFreshAt and TargetsFreshAt are when the view's parts were last known to
+	// be the store's state.
+	ConfigFreshAt, TargetsFreshAt time.Duration
+	// OutageAt is when the store was last known not to answer.
+	OutageAt time.Duration
+
 	config   Config
 	routes   map[Endpoint]*Route
 	haveList bool // the targets have been listed at least once
@@ -77,7 +84,6 @@
 	Restarted  Change = "restarted"
 	Returned   Change = "returned"
 	Removed    Change = "removed"
-	LapsedOut  Change = "lapsed"
 	Unreadable Change = "unreadable"
 )
 
@@ -103,7 +109,7 @@
 	}
 	t.TargetEntry, t.Version = e, version
 	t.WarmAt = now + e.WarmUp
-	t.Unreadable, t.Missing, t.Lapsed = false, false, false
+	t.Unreadable, t.Missing = false, false
 	v.index()
 	return t, change
 }
@@ -118,19 +124,14 @@
 	return Unreadable
 }
 
-// Remove records that the entry of a target has gone. With lapsed, it may have
-// gone only because the store was away.
-func (v *View) Remove(now time.Duration, id target.ID, version uint64, lapsed bool) (*Target, Change) {
+// Remove records that the entry of a target has gone.
+func (v *View) Remove(now time.Duration, id target.ID, version uint64) (*Target, Change) {
 	t := v.targets[id]
 	if t == nil || t.Missing || version < t.Version {
 		return t, Unchanged
 	}
-	// Entries of a target that drains are removed because it left.
-	t.Missing, t.MissingSince, t.Lapsed = true, now, lapsed && !t.Draining
+	t.Missing, t.MissingSince = true, now
 	t.Version = version
-	if t.Lapsed {
-		return t, LapsedOut
-	}
 	return t, Removed
 }
 
@@ -155,9 +156,11 @@
 	return !t.Draining && !t.Unreadable && !t.Shadowed && (!t.Missing || v.mayReturn(now, t))
 }
 
-// mayReturn reports whether a lapsed entry may still come back.
+// mayReturn reports whether a removed entry may still come back: the store has not
+// answered since, or not for long enough.
 func (v *View) mayReturn(now time.Duration, t *Target) bool {
-	return t.Lapsed && now < t.MissingSince+lapseGrace
+	since := max(t.MissingSince, v.OutageAt)
+	return now < since+returnGrace || v.TargetsFreshAt < since
 }
 
 // Ended reports whether a target is known for certain to have ended.
