--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -31,7 +31,13 @@
 var regressions = []struct {
 	seed  int64
 	cause string
-}{}
+}{
+	{4, lapseTold}, {21, lapseTold}, {22, lapseTold}, {37, lapseTold}, {38, lapseTold}, {39, lapseTold},
+}
+
+// lapseTold: a watch that was waiting told of entries that lapsed while the store
+// refused other calls, and open flows of their living targets were reset.
+const lapseTold = "lapsed entries told by a waiting watch, no outage noticed"
 
 // program is the built guavaloom-edge.
 var program string
@@ -67,6 +73,7 @@
 func TestSoakRegressions(t *testing.T) {
 	for _, r := range regressions {
 		t.Run(fmt.Sprint(r.seed), func(t *testing.T) {
+			t.Parallel()
 			t.Log(r.cause)
 			run(t, r.seed)
 		})
