--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -1,6 +1,7 @@
 package view
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -107,10 +108,13 @@
 	case e.Draining && !t.Draining:
 		change = Drained
 	}
+	if change == Joined || t.Service != e.Service {
+		v.unlist(t)
+		v.services[e.Service] = append(v.services[e.Service], t)
+	}
 	t.TargetEntry, t.Version = e, version
 	t.WarmAt = now + e.WarmUp
 	t.Unreadable, t.Missing = false, false
-	v.index()
 	return t, change
 }
 
@@ -177,21 +181,21 @@
 			if v.tokens[t.Token] == t {
 				delete(v.tokens, t.Token)
 			}
+			v.unlist(t)
 			dropped = true
 		}
 	}
-	if dropped {
-		v.index()
-	}
 	return dropped
 }
 
-// index rebuilds the lists by service.
-func (v *View) index() {
-	clear(v.services)
-	for _, t := range v.targets {
-		v.services[t.Service] = append(v.services[t.Service], t)
+// unlist takes a target out of the list of its service.
+func (v *View) unlist(t *Target) {
+	list := slices.DeleteFunc(v.services[t.Service], func(o *Target) bool { return o == t })
+	if len(list) == 0 {
+		delete(v.services, t.Service)
+		return
 	}
+	v.services[t.Service] = list
 }
 
 // TokenOf returns the token of a target. All instances compute the same value.
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -130,6 +130,18 @@
 	must.SliceEmpty(t, v.Service("booking"))
 }
 
+// Guards against a target that is listed under a service which it left.
+func TestServiceChanges(t *testing.T) {
+	v := New()
+	v.Put(0, entry("i-1"), 5)
+	v.Put(0, entry("i-2"), 6)
+	e := entry("i-1")
+	e.Service = "proofing"
+	v.Put(0, e, 7)
+	must.Eq(t, []*Target{v.Target("i-2")}, v.Service("booking"))
+	must.Eq(t, []*Target{v.Target("i-1")}, v.Service("proofing"))
+}
+
 // Guards against two targets that answer to one token: whatever the order in which
 // an instance learns of them, the same one holds it.
 func TestSharedToken(t *testing.T) {
