Count unanswered requests against their target

Cause: a target that takes requests and answers only a part of them kept its full share of new flows; and a request whose flow went on through another instance stayed in its target's load for up to 15 s. A request without an answer for 1.2 s now leaves the load and counts against the target, with a half-life of 5 s. The new test found a remainder of the share that shut a target out for good.

--- a/internal/forwarding/flows.go
+++ b/internal/forwarding/flows.go
@@ -103,5 +103,17 @@
 	}
 }
 
+// giveUp counts requests that have waited too long as unanswered. Their flows may
+// also have moved to another instance, which sees the answers; that concerns all
+// targets alike and leaves their order as it is.
+func (t *table) giveUp(now time.Duration) {
+	for _, f := range t.flows {
+		if f.busy && now >= f.dataAt+unansweredAfter {
+			f.setBusy(false)
+			f.load.outcome(now, false)
+		}
+	}
+}
+
 // after reports whether sequence number a follows b.
 func after(a, b uint32) bool { return int32(a-b) > 0 }
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -298,6 +298,7 @@
 	if state.busy {
 		took := now - state.dataAt
 		state.load.answered(took)
+		state.load.outcome(now, true)
 		f.observer.Answered(state.load.target, took)
 		state.setBusy(false)
 	}
@@ -338,6 +339,7 @@
 		idle = defaultIdleTimeout
 	}
 	f.flows.sweep(now, idle)
+	f.flows.giveUp(now)
 	var out []ResetFlow
 	for id, state := range f.flows.flows {
 		if f.View.Ended(now, state.load.target) && state.opened {
--- a/internal/forwarding/load.go
+++ b/internal/forwarding/load.go
@@ -1,6 +1,7 @@
 package forwarding
 
 import (
+	"math"
 	"time"
 
 	"guavaloom.example/guavaloom/internal/view"
@@ -16,6 +17,18 @@
 	idleFlow = 0.05
 	// coldFactor is how much more a request costs on a target that is warming up.
 	coldFactor = 1.6
+	// unansweredAfter is how long a request may stay without an answer before it
+	// counts as unanswered: longer than answers take in the users' worst bursts.
+	unansweredAfter = 1200 * time.Millisecond
+	// failureWeight is the weight of a new outcome in the share of unanswered
+	// requests, which falls by half in failureHalfLife so that a target is tried
+	// again. failurePenalty is the load of a target that answers nothing.
+	failureWeight   = 0.3
+	failureHalfLife = 5 * time.Second
+	failurePenalty  = 4.0
+	// leastFailures is the share below which a target counts as sound: a remainder
+	// must not decide between targets that are otherwise equal.
+	leastFailures = 0.02
 	// latencyWeight is the weight of a new sample in the mean latency.
 	latencyWeight = 0.2
 )
@@ -40,13 +53,37 @@
 	// latency is the mean time from the last packet of a request to the
 	// acknowledgement of its answer; 0 if there is no sample.
 	latency time.Duration
+	// failing is the share of requests that stayed unanswered, as of failingAt.
+	failing   float64
+	failingAt time.Duration
+}
+
+// failures returns the share of unanswered requests, which fades with time.
+func (l *load) failures(now time.Duration) float64 {
+	if l.failing == 0 {
+		return 0
+	}
+	share := l.failing * math.Exp2(-float64(now-l.failingAt)/float64(failureHalfLife))
+	if share < leastFailures {
+		return 0
+	}
+	return share
+}
+
+// outcome records whether a request was answered.
+func (l *load) outcome(now time.Duration, answered bool) {
+	l.failing = l.failures(now) * (1 - failureWeight)
+	l.failingAt = now
+	if !answered {
+		l.failing += failureWeight
+	}
 }
 
 // adopt takes the target's present entry. What was seen of silence and latency
 // holds for one run of the target only.
 func (l *load) adopt(t *view.Target) {
 	if l.target != nil && l.incarnation != t.Incarnation {
-		l.silent, l.avoidFor, l.avoidUntil, l.latency, l.heardAt = false, 0, 0, 0, 0
+		l.silent, l.avoidFor, l.avoidUntil, l.latency, l.heardAt, l.failing = false, 0, 0, 0, 0, 0
 	}
 	l.target, l.incarnation = t, t.Incarnation
 }
@@ -98,7 +135,7 @@
 	if now < l.target.WarmAt {
 		work = work*coldFactor + coldFactor - 1
 	}
-	return work
+	return work + failurePenalty*l.failures(now)
 }
 
 // LoadReport is the part of a target's load that a decision was based on.
--- a/internal/forwarding/placement_test.go
+++ b/internal/forwarding/placement_test.go
@@ -167,6 +167,55 @@
 	must.LessEq(t, 150*ms, p99(byLoad)) // the users' aim of 300 ms less the work and the way
 }
 
+// Load pattern: one of four targets takes requests and leaves half of them without
+// an answer, while its entry and its health are good. Guards against a full share
+// of flows for it, and against shutting it out once it answers again.
+func TestMuteTargetGetsLess(t *testing.T) {
+	b := newBed()
+	for n := range 4 {
+		b.put(0, b.entry(target.ID(fmt.Sprintf("i-%d", n)), "booking", "a"))
+	}
+	n := 0
+	share := func(from, to time.Duration, mute bool) float64 {
+		chosen, all := 0, 0
+		for now := from; now < to; now += 50 * ms {
+			f := flowTo(bookingAddr, n)
+			n++
+			d := b.syn(now, f, 0)
+			b.accept(now, f, d)
+			b.data(now, f, d.Token, 101, 500, 900)
+			all++
+			if d.Target.ID == "i-0" {
+				chosen++
+			}
+			if !mute || d.Target.ID != "i-0" || n%2 == 0 {
+				b.Handle(now+40*ms, &Segment{Flow: f, ACK: true, FIN: true, Seq: 1001, Ack: 1100, Token: d.Token})
+			}
+			b.Tick(now)
+		}
+		return float64(chosen) / float64(all)
+	}
+	must.Between(t, 0.2, share(0, 5*time.Second, false), 0.3)
+	share(5*time.Second, 8*time.Second, true) // until it shows
+	must.Less(t, 0.125, share(8*time.Second, 20*time.Second, true))
+	share(20*time.Second, 40*time.Second, false) // its unanswered flows are forgotten
+	must.Greater(t, 0.15, share(40*time.Second, 50*time.Second, false))
+}
+
+// Guards against load that stays when a flow goes on through another instance: the
+// answer to its request is not seen here.
+func TestMovedFlowLeavesNoLoad(t *testing.T) {
+	b := newBed()
+	b.put(0, b.entry("i-1", "booking", "a"))
+	f := flowTo(bookingAddr, 1)
+	d := b.syn(0, f, 0)
+	b.accept(0, f, d)
+	b.data(0, f, d.Token, 101, 500, 900)
+	must.Eq(t, 1, b.loads["i-1"].busy)
+	b.Tick(unansweredAfter)
+	must.Eq(t, 0, b.loads["i-1"].busy)
+}
+
 // Guards against counts of flows and requests that drift, whatever the order of
 // packets: with no flow left they are all zero, and they are never negative.
 func TestCountsReturnToZero(t *testing.T) {
