--- a/internal/forwarding/load.go
+++ b/internal/forwarding/load.go
@@ -127,17 +127,22 @@
 	l.latency += time.Duration(latencyWeight * float64(latency-l.latency))
 }
 
-// slots returns the estimated part of the target's slots that is in use, where
+// queue returns the estimated part of the target's slots that is in use now, where
 // this instance sees one of so many equal parts of the target's work.
-func (l *load) slots(now time.Duration, parts int) float64 {
-	work := float64(l.busy+l.opening) + idleFlow*float64(max(l.open-l.busy, 0))
-	work *= float64(parts) / float64(l.target.Slots)
+func (l *load) queue(now time.Duration, parts int) float64 {
+	work := float64((l.busy+l.opening)*parts) / float64(l.target.Slots)
 	if now < l.target.WarmAt {
 		work = work*coldFactor + coldFactor - 1
 	}
 	return work + failurePenalty*l.failures(now)
 }
 
+// idle returns the part of the slots that open flows without a request are
+// expected to use.
+func (l *load) idle(parts int) float64 {
+	return idleFlow * float64(max(l.open-l.busy, 0)*parts) / float64(l.target.Slots)
+}
+
 // LoadReport is the part of a target's load that a decision was based on.
 type LoadReport struct {
 	Open, Busy int
--- a/internal/forwarding/placement.go
+++ b/internal/forwarding/placement.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// remotePenalty and remoteUploadPenalty are added to the load of targets in
-	// other data centres, in parts of a target's slots. Links between data centres
+	// remotePenalty and remoteUploadPenalty are how much less loaded a target of
+	// another data centre must be, in parts of a target's slots. Links between data centres
 	// are dear: an upload of 80 KB across costs nearly what it is worth, a small
 	// request next to nothing.
 	remotePenalty       = 2
@@ -27,38 +27,62 @@
 // choose returns the best of a service's targets for a new flow, or nil, and how
 // many there were to choose from. exclude, if not nil, is taken only if no other
 // target is left.
+//
+// A target of another data centre is chosen only if the requests at the best own
+// one queue. Flows that are open but idle don't count for that: they are many, and
+// a flow that leaves its data centre ends when the links do.
 func (c *chooser) choose(now time.Duration, v *view.View, all []*load, kind view.Kind, exclude *load) (best *load, candidates int) {
-	var bestCost float64
+	var own, other option
 	for _, l := range all {
 		if !v.TakesFlows(now, l.target) {
 			continue
 		}
 		candidates++
-		cost := c.cost(now, l, kind)
+		to := &other
+		parts := 1
+		if l.target.Zone == c.zone {
+			to, parts = &own, c.parts
+		}
+		o := option{load: l, queue: l.queue(now, parts)}
+		if l.suspect(now) || l.target.Missing {
+			o.queue += suspectPenalty
+		}
 		if l == exclude {
-			cost += 2 * suspectPenalty
+			o.queue += 2 * suspectPenalty
 		}
-		if best == nil || cost < bestCost || cost == bestCost && l.placedAt < best.placedAt {
-			best, bestCost = l, cost
+		o.cost = o.queue + l.idle(parts)
+		if to.load == nil || o.better(*to) {
+			*to = o
 		}
 	}
-	return best, candidates
+	switch {
+	case own.load == nil:
+		return other.load, candidates
+	case other.load == nil, own.queue < other.queue+penalty(kind):
+		return own.load, candidates
+	}
+	return other.load, candidates
 }
 
-func (c *chooser) cost(now time.Duration, l *load, kind view.Kind) float64 {
-	var cost float64
-	if l.target.Zone == c.zone {
-		cost = l.slots(now, c.parts)
-	} else {
-		cost = l.slots(now, 1) + remotePenalty
-		if kind == view.Upload {
-			cost += remoteUploadPenalty
-		}
-	}
-	if l.suspect(now) || l.target.Missing {
-		cost += suspectPenalty
+// option is a target that could be chosen.
+type option struct {
+	load *load
+	// queue is the target's load by requests, cost that by all flows.
+	queue, cost float64
+}
+
+// better reports whether the option goes before another one; of equal ones the
+// target that was given a flow longer ago does.
+func (o option) better(than option) bool {
+	return o.cost < than.cost || o.cost == than.cost && o.load.placedAt < than.load.placedAt
+}
+
+// penalty is how much less loaded a target of another data centre must be.
+func penalty(kind view.Kind) float64 {
+	if kind == view.Upload {
+		return remoteUploadPenalty
 	}
-	return cost
+	return remotePenalty
 }
 
 // pickShare returns the position of the share that a flow belongs to.
--- a/internal/forwarding/placement_test.go
+++ b/internal/forwarding/placement_test.go
@@ -32,6 +32,20 @@
 	must.Eq(t, "i-far", b.syn(0, flowTo(bookingAddr, 100), 0).Target.ID)
 }
 
+// Load pattern: a board that is open all day. Guards against long flows that leave
+// their data centre because many of them are open, though none waits.
+func TestIdleFlowsDoNotLeave(t *testing.T) {
+	b := newBed()
+	b.put(0, b.entry("i-own", "booking", "a"))
+	b.put(0, b.entry("i-far", "booking", "b"))
+	for n := range 300 {
+		f := flowTo(bookingAddr, n)
+		d := b.syn(0, f, 0)
+		must.Eq(t, "i-own", d.Target.ID, must.Sprint(n))
+		b.accept(0, f, d)
+	}
+}
+
 // Guards against uploads across the links while the own data centre can serve them
 // at all, and against losing them when it can't.
 func TestUploadsStay(t *testing.T) {
