Let the mute target of a test leave every second of its own requests

Cause: it left every second request of all unanswered; with targets chosen in turn, the one under test could be given only those that are answered, depending on the order of a map.

--- a/internal/forwarding/placement_test.go
+++ b/internal/forwarding/placement_test.go
@@ -189,7 +189,7 @@
 	for n := range 4 {
 		b.put(0, b.entry(target.ID(fmt.Sprintf("i-%d", n)), "booking", "a"))
 	}
-	n := 0
+	n, atMute := 0, 0
 	share := func(from, to time.Duration, mute bool) float64 {
 		chosen, all := 0, 0
 		for now := from; now < to; now += 50 * ms {
@@ -202,7 +202,10 @@
 			if d.Target.ID == "i-0" {
 				chosen++
 			}
-			if !mute || d.Target.ID != "i-0" || n%2 == 0 {
+			if d.Target.ID == "i-0" {
+				atMute++
+			}
+			if !mute || d.Target.ID != "i-0" || atMute%2 == 0 {
 				b.Handle(now+40*ms, &Segment{Flow: f, ACK: true, FIN: true, Seq: 1001, Ack: 1100, Token: d.Token})
 			}
 			b.Tick(now)
