Reset flows of a removed target that is silent too

An entry that is gone and a repetition that finds no sign of life are taken for the target's end together.

--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -138,7 +138,7 @@
 	}
 	if state.opened || !f.silentSince(now, state) {
 		// The answer may be on its way, and a second target must not answer too.
-		if !f.View.Ended(now, state.load.target) {
+		if !f.ended(now, state.load.target) {
 			state.seenAt = now
 			return f.to(state.load, r, Repeated, 0)
 		}
@@ -209,13 +209,22 @@
 	if t == nil {
 		return f.unknownToken(now, s)
 	}
-	if f.View.Ended(now, t) {
+	if !f.ended(now, t) {
+		f.observe(now, s, f.loads[t.ID])
+	}
+	if f.ended(now, t) { // perhaps by what was just observed
 		return f.endFlow(s, t)
 	}
-	f.observe(now, s, f.loads[t.ID])
 	return Decision{Verdict: Forward, Target: t}
 }
 
+// ended reports whether a target has ended for certain: its entry did not come
+// back in time, or it is gone and the target showed no sign of life when a client
+// repeated a packet.
+func (f *Forwarder) ended(now time.Duration, t *view.Target) bool {
+	return f.View.Ended(now, t) || t.Missing && f.loads[t.ID].silent
+}
+
 // endFlow resets a flow whose target has ended, so that the client can try again.
 func (f *Forwarder) endFlow(s *Segment, t *view.Target) Decision {
 	if state := f.flows.flows[s.Flow]; state != nil {
@@ -342,7 +351,7 @@
 	f.flows.giveUp(now)
 	var out []ResetFlow
 	for id, state := range f.flows.flows {
-		if f.View.Ended(now, state.load.target) && state.opened {
+		if f.ended(now, state.load.target) && state.opened {
 			out = append(out, ResetFlow{id, state.ack, state.load.target})
 			f.flows.remove(id, state)
 		}
--- a/internal/forwarding/forwarder_test.go
+++ b/internal/forwarding/forwarder_test.go
@@ -236,6 +236,28 @@
 	must.Eq(t, Drop, b.Handle(2*sure, &Segment{Flow: g, RST: true, Token: d.Token}).Verdict)
 }
 
+// Load pattern: a target drains, leaves, and a client sends its next request on a
+// flow that it left open. Guards against a client that waits until the entry can't
+// come back any more: an entry that is gone and a request that is not answered
+// say enough together, and neither does alone.
+func TestSilentAndRemoved(t *testing.T) {
+	b := newBed()
+	b.put(0, b.entry("i-1", "booking", "a"))
+	f, g := flowTo(bookingAddr, 1), flowTo(bookingAddr, 2)
+	d := b.syn(0, f, 0)
+	b.accept(10*ms, f, d)
+	b.accept(10*ms, g, b.syn(0, g, 0))
+	b.remove(1000*ms, "i-1")
+	must.Eq(t, Forward, b.data(1100*ms, f, d.Token, 101, 500, 10).Verdict)
+	must.SliceEmpty(t, b.Tick(1200*ms))
+	got := b.data(1300*ms, f, d.Token, 101, 500, 10) // repeated
+	must.Eq(t, Reset, got.Verdict)
+	must.Eq(t, TargetEnded, got.Reason)
+	must.Eq(t, []ResetFlow{{g, 500, b.View.Target("i-1")}}, b.Tick(1400*ms))
+	b.put(1500*ms, b.entry("i-1", "booking", "a")) // it lives after all
+	must.Eq(t, Forward, b.data(1600*ms, f, d.Token, 101, 500, 10).Verdict)
+}
+
 // Guards against resetting the flows of a target that this instance has not heard
 // of yet, and against leaving clients of one that ended before it started.
 func TestUnknownToken(t *testing.T) {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -126,7 +126,12 @@
 	if t == nil {
 		return "no target to silence"
 	}
-	return w.lasting("silence "+t.ID(), d, func() { t.SetSilent(true) }, func() { t.SetSilent(false) })
+	return w.lasting("silence "+t.ID(), d, func() {
+		w.mu.Lock()
+		t.silencedUntil = time.Now().Add(d)
+		w.mu.Unlock()
+		t.SetSilent(true)
+	}, func() { t.SetSilent(false) })
 }
 
 // lapse removes the entry of a living target while the store is away; it is back
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -50,6 +50,8 @@
 	key        uint64
 	drainingAt time.Time // zero until it drains
 	endedAt    time.Time // zero while it lives
+	// silencedUntil is the end of the last time in which it ignored all packets.
+	silencedUntil time.Time
 }
 
 // world is one run.
@@ -164,13 +166,15 @@
 	return out
 }
 
-// lives reports whether a target has not ended.
+// lives reports whether a target has not ended and was not silenced in the last
+// calmFor: a target that lost its entry and ignores its clients can't be told from
+// one that ended, and the users' rules except it.
 func (w *world) lives(id string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, t := range w.targets {
 		if t.ID() == id {
-			return t.endedAt.IsZero()
+			return t.endedAt.IsZero() && time.Since(t.silencedUntil) > calmFor
 		}
 	}
 	return false
