Split the reading of the store; keep old lists of instances from hiding readers

The list of instances may be 20 s old, but an answer that old marked the instance that gave it as failed for 1.5 s, so that its followers turned away from it now and then. Found when reading the file for the split.

--- /dev/null
+++ b/internal/edge/adopt.go
@@ -0,0 +1,137 @@
+package edge
+
+import (
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"guavaloom.example/guavaloom/internal/logfield"
+	"guavaloom.example/guavaloom/internal/metric"
+	"guavaloom.example/guavaloom/internal/objectstore"
+	"guavaloom.example/guavaloom/internal/replica"
+	"guavaloom.example/guavaloom/internal/target"
+	"guavaloom.example/guavaloom/internal/view"
+)
+
+// adopt takes an answer into the replica and the view, in one step, so that two
+// sources can't overtake each other between the two.
+func (i *Instance) adopt(now, began time.Duration, kind, source string, res *objectstore.Result) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	var u replica.Update
+	if res.Call.Op == objectstore.OpList {
+		// The answer shows the state at some time after the call.
+		res.Listing.Age += now - began
+		u = i.replica.List(now, kind, res.Listing)
+	} else {
+		u = i.replica.Events(now, kind, res.Listing)
+	}
+	age, _ := i.replica.Age(now, kind)
+	if u.Outage {
+		i.forward.View.OutageAt = now
+	}
+	for _, o := range u.Objects {
+		i.adoptObject(now, kind, source, o)
+	}
+	switch kind {
+	case i.platform.ConfigKind:
+		i.forward.View.ConfigFreshAt = now - age
+	case i.platform.TargetKind:
+		i.forward.View.TargetsFreshAt = now - age
+		if u.First {
+			i.forward.View.MarkListed()
+		}
+		if len(u.Objects) > 0 {
+			i.forward.TargetsChanged()
+		}
+	case i.platform.InstanceKind:
+		i.forward.SetInstances(i.registry.zoneSize())
+	}
+	i.releaseHeld(now)
+	if u.First {
+		i.log.Event(viewClass, "first list", logrus.Fields{
+			logfield.Kind: kind, logfield.Source: source, logfield.Version: uint64(res.Listing.Version), logfield.Count: len(u.Objects),
+		})
+	}
+}
+
+func (i *Instance) adoptObject(now time.Duration, kind, source string, o objectstore.Object) {
+	_, name, _ := strings.Cut(o.Key, "/")
+	switch kind {
+	case i.platform.ConfigKind:
+		i.adoptConfig(name, source, o)
+	case i.platform.TargetKind:
+		i.adoptTarget(now, name, source, o)
+	case i.platform.InstanceKind:
+		i.adoptInstance(name, o)
+	}
+}
+
+func (i *Instance) adoptConfig(name, source string, o objectstore.Object) {
+	fields := logrus.Fields{logfield.Source: source, logfield.Version: uint64(o.Version)}
+	if o.Deleted {
+		i.log.Event(viewClass, "configuration removed from the store, the last one holds", fields)
+		return
+	}
+	c, problems, err := i.platform.Entries.Config(name, o.Value)
+	for _, p := range problems {
+		i.unreadable(i.platform.ConfigKind, name, p)
+	}
+	if err != nil {
+		i.unreadable(i.platform.ConfigKind, name, err)
+		return
+	}
+	if i.forward.View.SetConfig(c) {
+		i.metrics.Counter(metric.EdgeChanges, "config").Inc(1)
+		fields[logfield.Config], fields[logfield.Count] = c.Version, len(c.Routes)
+		i.log.Event(viewClass, "configuration", fields)
+	}
+}
+
+func (i *Instance) adoptTarget(now time.Duration, name, source string, o objectstore.Object) {
+	var change view.Change
+	var t *view.Target
+	v := i.forward.View
+	switch {
+	case o.Deleted:
+		t, change = v.Remove(now, target.ID(name), uint64(o.Version))
+	default:
+		e, err := i.platform.Entries.Target(name, o.Value)
+		if err != nil {
+			i.unreadable(i.platform.TargetKind, name, err)
+			change = v.PutUnreadable(target.ID(name), uint64(o.Version))
+			break
+		}
+		t, change = v.Put(now, e, uint64(o.Version))
+	}
+	if change == view.Unchanged {
+		return
+	}
+	i.metrics.Counter(metric.EdgeChanges, string(change)).Inc(1)
+	fields := logrus.Fields{
+		logfield.Target: name, logfield.Change: string(change), logfield.Source: source, logfield.Version: uint64(o.Version),
+	}
+	if t != nil {
+		fields[logfield.Service], fields[logfield.Zone], fields[logfield.Address] = string(t.Service), t.Zone, t.Addr.String()
+	}
+	i.log.Event(viewClass, "target", fields)
+}
+
+func (i *Instance) unreadable(kind, name string, err error) {
+	i.metrics.Counter(metric.EdgeUnreadable, kind).Inc(1)
+	i.log.Event(viewClass, "entry unreadable", logrus.Fields{logfield.Kind: kind, logfield.Target: name, logfield.Error: err.Error()})
+}
+
+func (i *Instance) adoptInstance(name string, o objectstore.Object) {
+	if o.Deleted {
+		i.registry.remove(name)
+		return
+	}
+	zone, addr, err := i.platform.Entries.Instance(o.Value)
+	if err != nil {
+		i.unreadable(i.platform.InstanceKind, name, err)
+		return
+	}
+	i.registry.put(name, zone, addr)
+}
--- a/internal/edge/reading.go
+++ b/internal/edge/reading.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"net/netip"
-	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -15,8 +14,6 @@
 	"guavaloom.example/guavaloom/internal/objectstore"
 	"guavaloom.example/guavaloom/internal/rendezvous"
 	"guavaloom.example/guavaloom/internal/replica"
-	"guavaloom.example/guavaloom/internal/target"
-	"guavaloom.example/guavaloom/internal/view"
 )
 
 const (
@@ -51,8 +48,6 @@
 	strayPause = 3 * time.Second
 	// firstPause is the pause between checks while that time runs.
 	firstPause = 5 * time.Millisecond
-	// registerRetry is the pause between attempts to register.
-	registerRetry = 2 * time.Second
 	// idlePause is the pause before a source that is not needed is considered again.
 	idlePause = 500 * time.Millisecond
 	// retryPause is the pause before another instance is asked in place of one that
@@ -169,7 +164,7 @@
 			continue
 		}
 		i.registry.answered(addr)
-		if res.Listing.Age > readStoreAfter {
+		if res.Listing.Age > readStoreAfter && kind != i.platform.InstanceKind {
 			i.registry.fail(i.now(), addr) // it is cut off itself; others may know more
 		}
 	}
@@ -249,168 +244,6 @@
 	return "failed"
 }
 
-// adopt takes an answer into the replica and the view, in one step, so that two
-// sources can't overtake each other between the two.
-func (i *Instance) adopt(now, began time.Duration, kind, source string, res *objectstore.Result) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	var u replica.Update
-	if res.Call.Op == objectstore.OpList {
-		// The answer shows the state at some time after the call.
-		res.Listing.Age += now - began
-		u = i.replica.List(now, kind, res.Listing)
-	} else {
-		u = i.replica.Events(now, kind, res.Listing)
-	}
-	age, _ := i.replica.Age(now, kind)
-	if u.Outage {
-		i.forward.View.OutageAt = now
-	}
-	for _, o := range u.Objects {
-		i.adoptObject(now, kind, source, o)
-	}
-	switch kind {
-	case i.platform.ConfigKind:
-		i.forward.View.ConfigFreshAt = now - age
-	case i.platform.TargetKind:
-		i.forward.View.TargetsFreshAt = now - age
-		if u.First {
-			i.forward.View.MarkListed()
-		}
-		if len(u.Objects) > 0 {
-			i.forward.TargetsChanged()
-		}
-	case i.platform.InstanceKind:
-		i.forward.SetInstances(i.registry.zoneSize())
-	}
-	i.releaseHeld(now)
-	if u.First {
-		i.log.Event(viewClass, "first list", logrus.Fields{
-			logfield.Kind: kind, logfield.Source: source, logfield.Version: uint64(res.Listing.Version), logfield.Count: len(u.Objects),
-		})
-	}
-}
-
-func (i *Instance) adoptObject(now time.Duration, kind, source string, o objectstore.Object) {
-	_, name, _ := strings.Cut(o.Key, "/")
-	switch kind {
-	case i.platform.ConfigKind:
-		i.adoptConfig(name, source, o)
-	case i.platform.TargetKind:
-		i.adoptTarget(now, name, source, o)
-	case i.platform.InstanceKind:
-		i.adoptInstance(name, o)
-	}
-}
-
-func (i *Instance) adoptConfig(name, source string, o objectstore.Object) {
-	fields := logrus.Fields{logfield.Source: source, logfield.Version: uint64(o.Version)}
-	if o.Deleted {
-		i.log.Event(viewClass, "configuration removed from the store, the last one holds", fields)
-		return
-	}
-	c, problems, err := i.platform.Entries.Config(name, o.Value)
-	for _, p := range problems {
-		i.unreadable(i.platform.ConfigKind, name, p)
-	}
-	if err != nil {
-		i.unreadable(i.platform.ConfigKind, name, err)
-		return
-	}
-	if i.forward.View.SetConfig(c) {
-		i.metrics.Counter(metric.EdgeChanges, "config").Inc(1)
-		fields[logfield.Config], fields[logfield.Count] = c.Version, len(c.Routes)
-		i.log.Event(viewClass, "configuration", fields)
-	}
-}
-
-func (i *Instance) adoptTarget(now time.Duration, name, source string, o objectstore.Object) {
-	var change view.Change
-	var t *view.Target
-	v := i.forward.View
-	switch {
-	case o.Deleted:
-		t, change = v.Remove(now, target.ID(name), uint64(o.Version))
-	default:
-		e, err := i.platform.Entries.Target(name, o.Value)
-		if err != nil {
-			i.unreadable(i.platform.TargetKind, name, err)
-			change = v.PutUnreadable(target.ID(name), uint64(o.Version))
-			break
-		}
-		t, change = v.Put(now, e, uint64(o.Version))
-	}
-	if change == view.Unchanged {
-		return
-	}
-	i.metrics.Counter(metric.EdgeChanges, string(change)).Inc(1)
-	fields := logrus.Fields{
-		logfield.Target: name, logfield.Change: string(change), logfield.Source: source, logfield.Version: uint64(o.Version),
-	}
-	if t != nil {
-		fields[logfield.Service], fields[logfield.Zone], fields[logfield.Address] = string(t.Service), t.Zone, t.Addr.String()
-	}
-	i.log.Event(viewClass, "target", fields)
-}
-
-func (i *Instance) unreadable(kind, name string, err error) {
-	i.metrics.Counter(metric.EdgeUnreadable, kind).Inc(1)
-	i.log.Event(viewClass, "entry unreadable", logrus.Fields{logfield.Kind: kind, logfield.Target: name, logfield.Error: err.Error()})
-}
-
-func (i *Instance) adoptInstance(name string, o objectstore.Object) {
-	if o.Deleted {
-		i.registry.remove(name)
-		return
-	}
-	zone, addr, err := i.platform.Entries.Instance(o.Value)
-	if err != nil {
-		i.unreadable(i.platform.InstanceKind, name, err)
-		return
-	}
-	i.registry.put(name, zone, addr)
-}
-
-// keepRegistered writes the instance's entry into the store unless it is there
-// already, which it is after a restart.
-func (i *Instance) keepRegistered(ctx context.Context) {
-	name, kind := i.settings.Name, i.platform.InstanceKind
-	value, err := i.platform.Entries.InstanceValue(i.settings.Zone, i.settings.Peer)
-	if err != nil {
-		i.log.Event(viewClass, "not registered", logrus.Fields{logfield.Error: err.Error()})
-		return
-	}
-	for ctx.Err() == nil {
-		l, _, err := i.replica.Changes(i.now(), kind, 0)
-		if err != nil {
-			sleep(ctx, retryPause) // nothing has been listed yet
-			continue
-		}
-		expect, same := i.registered(l, kind, name)
-		if same {
-			return
-		}
-		if _, err = i.platform.Store.Put(ctx, kind+"/"+name, value, expect); err == nil {
-			i.log.Event(viewClass, "registered", logrus.Fields{logfield.Address: i.settings.Peer.String()})
-			return
-		}
-		i.log.Event(viewClass, "not registered, will be tried again", logrus.Fields{logfield.Error: err.Error()})
-		sleep(ctx, registerRetry)
-	}
-}
-
-// registered returns the version of the instance's entry and whether it is right.
-func (i *Instance) registered(l objectstore.Listing, kind, name string) (objectstore.Version, bool) {
-	for _, o := range l.Objects {
-		if o.Key != kind+"/"+name {
-			continue
-		}
-		zone, addr, err := i.platform.Entries.Instance(o.Value)
-		return o.Version, err == nil && zone == i.settings.Zone && addr == i.settings.Peer
-	}
-	return 0, false
-}
-
 // peerHandler serves the replica to other instances.
 func (i *Instance) peerHandler() http.Handler {
 	h := i.replica.Handler(i.now)
--- /dev/null
+++ b/internal/edge/register.go
@@ -0,0 +1,54 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"guavaloom.example/guavaloom/internal/logfield"
+	"guavaloom.example/guavaloom/internal/objectstore"
+)
+
+// registerRetry is the pause between attempts to register.
+const registerRetry = 2 * time.Second
+
+// keepRegistered writes the instance's entry into the store unless it is there
+// already, which it is after a restart.
+func (i *Instance) keepRegistered(ctx context.Context) {
+	name, kind := i.settings.Name, i.platform.InstanceKind
+	value, err := i.platform.Entries.InstanceValue(i.settings.Zone, i.settings.Peer)
+	if err != nil {
+		i.log.Event(viewClass, "not registered", logrus.Fields{logfield.Error: err.Error()})
+		return
+	}
+	for ctx.Err() == nil {
+		l, _, err := i.replica.Changes(i.now(), kind, 0)
+		if err != nil {
+			sleep(ctx, retryPause) // nothing has been listed yet
+			continue
+		}
+		expect, same := i.registered(l, kind, name)
+		if same {
+			return
+		}
+		if _, err = i.platform.Store.Put(ctx, kind+"/"+name, value, expect); err == nil {
+			i.log.Event(viewClass, "registered", logrus.Fields{logfield.Address: i.settings.Peer.String()})
+			return
+		}
+		i.log.Event(viewClass, "not registered, will be tried again", logrus.Fields{logfield.Error: err.Error()})
+		sleep(ctx, registerRetry)
+	}
+}
+
+// registered returns the version of the instance's entry and whether it is right.
+func (i *Instance) registered(l objectstore.Listing, kind, name string) (objectstore.Version, bool) {
+	for _, o := range l.Objects {
+		if o.Key != kind+"/"+name {
+			continue
+		}
+		zone, addr, err := i.platform.Entries.Instance(o.Value)
+		return o.Version, err == nil && zone == i.settings.Zone && addr == i.settings.Peer
+	}
+	return 0, false
+}
