--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -123,6 +123,51 @@
 	must.ErrorIs(t, err, objectstore.ErrExpired)
 }
 
+// slowWriter blocks until it is released.
+type slowWriter struct {
+	*httptest.ResponseRecorder
+	writing, release chan struct{}
+}
+
+func (w *slowWriter) Write(b []byte) (int, error) {
+	w.writing <- struct{}{}
+	<-w.release
+	return w.ResponseRecorder.Write(b)
+}
+
+// Load pattern: a data centre's instances all start at once and ask one of them
+// for everything. Guards against one instance that answers them all and runs out
+// of memory.
+func TestFullListsAreBounded(t *testing.T) {
+	r := New("k")
+	r.List(0, "k", listing(10, object("k/a", 4)))
+	h := r.Handler(func() time.Duration { return 0 })
+	list := httptest.NewRequest("GET", "/v1/objects?prefix=k", nil)
+	writing, release, done := make(chan struct{}, maxLists), make(chan struct{}), make(chan struct{})
+	for range maxLists {
+		go func() {
+			h.ServeHTTP(&slowWriter{httptest.NewRecorder(), writing, release}, list)
+			done <- struct{}{}
+		}()
+	}
+	for range maxLists {
+		<-writing
+	}
+	refused := httptest.NewRecorder()
+	h.ServeHTTP(refused, list)
+	must.Eq(t, 503, refused.Code)
+	watch := httptest.NewRecorder()
+	h.ServeHTTP(watch, httptest.NewRequest("GET", "/v1/objects?prefix=k&after=10&wait=0", nil))
+	must.Eq(t, 200, watch.Code)
+	close(release)
+	for range maxLists {
+		<-done
+	}
+	again := httptest.NewRecorder()
+	h.ServeHTTP(again, list)
+	must.Eq(t, 200, again.Code)
+}
+
 func newPlan() *Plan { return NewPlan(time.Second, rand.New(rand.NewSource(1))) }
 
 func done(p *Plan, l objectstore.Listing, err error) time.Duration {
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -11,14 +11,21 @@
 	"guavaloom.example/guavaloom/internal/objectstore"
 )
 
-// maxWait is the longest wait of another instance's watch.
-const maxWait = 30 * time.Second
+const (
+	// maxWait is the longest wait of another instance's watch.
+	maxWait = 30 * time.Second
+	// maxLists is how many full lists are answered at a time. Further instances
+	// that start at the same moment are turned to others, so that the memory and
+	// the link of one are not used up by all.
+	maxLists = 4
+)
 
 // Handler serves the replica to other instances with the list and watch calls of
 // the object API in package objectstore, where the prefix is the kind. now reads the
 // steady clock.
 func (r *Replica) Handler(now func() time.Duration) http.Handler {
 	mux := http.NewServeMux()
+	lists := make(chan struct{}, maxLists)
 	mux.HandleFunc("GET /v1/objects", func(w http.ResponseWriter, req *http.Request) {
 		q := req.URL.Query()
 		after, afterErr := parseVersion(q.Get("after"))
@@ -27,6 +34,15 @@
 			http.Error(w, "bad after or wait, allowed is a version and 0 to 30 s", http.StatusBadRequest)
 			return
 		}
+		if after == 0 {
+			select {
+			case lists <- struct{}{}:
+				defer func() { <-lists }()
+			default:
+				reply(w, objectstore.Listing{}, objectstore.ErrUnavailable)
+				return
+			}
+		}
 		l, err := r.await(req, now, q.Get("prefix"), after, wait)
 		reply(w, l, err)
 	})
