--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -142,11 +143,11 @@
 	r := New("k")
 	r.List(0, "k", listing(10, object("k/a", 4)))
 	h := r.Handler(func() time.Duration { return 0 })
-	list := httptest.NewRequest("GET", "/v1/objects?prefix=k", nil)
+	list := func() *http.Request { return httptest.NewRequest("GET", "/v1/objects?prefix=k", nil) }
 	writing, release, done := make(chan struct{}, maxLists), make(chan struct{}), make(chan struct{})
 	for range maxLists {
 		go func() {
-			h.ServeHTTP(&slowWriter{httptest.NewRecorder(), writing, release}, list)
+			h.ServeHTTP(&slowWriter{httptest.NewRecorder(), writing, release}, list())
 			done <- struct{}{}
 		}()
 	}
@@ -154,7 +155,7 @@
 		<-writing
 	}
 	refused := httptest.NewRecorder()
-	h.ServeHTTP(refused, list)
+	h.ServeHTTP(refused, list())
 	must.Eq(t, 503, refused.Code)
 	watch := httptest.NewRecorder()
 	h.ServeHTTP(watch, httptest.NewRequest("GET", "/v1/objects?prefix=k&after=10&wait=0", nil))
@@ -164,7 +165,7 @@
 		<-done
 	}
 	again := httptest.NewRecorder()
-	h.ServeHTTP(again, list)
+	h.ServeHTTP(again, list())
 	must.Eq(t, 200, again.Code)
 }
 
