--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -39,19 +39,18 @@
 	Encode(line *Line)
 }
 
-// event is a rare line with any fields.
+// event is a rare line with any fields, which the logger's formatter encodes.
 type event struct {
 	message string
 	fields  logrus.Fields
 }
 
-// Encode implements Record. It is not used: events are formatted by the logger.
-func (e event) Encode(*Line) {}
-
+// queued is a record, or an event if there is no record.
 type queued struct {
 	at     time.Time
 	class  string
 	record Record
+	event  event
 }
 
 // Log queues and writes records. It is safe for concurrent use.
@@ -75,7 +74,14 @@
 }
 
 // Add queues a record unless its class is over its limit.
-func (l *Log) Add(c *Class, r Record) {
+func (l *Log) Add(c *Class, r Record) { l.add(c, queued{record: r}) }
+
+// Event queues a message with fields.
+func (l *Log) Event(c *Class, message string, fields logrus.Fields) {
+	l.add(c, queued{event: event{message, fields}})
+}
+
+func (l *Log) add(c *Class, q queued) {
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -88,12 +94,8 @@
 		return
 	}
 	l.written[c.Name]++
-	l.queue = append(l.queue, queued{now, c.Name, r})
-}
-
-// Event queues a message with fields.
-func (l *Log) Event(c *Class, message string, fields logrus.Fields) {
-	l.Add(c, event{message, fields})
+	q.at, q.class = now, c.Name
+	l.queue = append(l.queue, q)
 }
 
 // Run writes the queue until ctx ends, then writes the rest.
@@ -124,7 +126,8 @@
 		l.encode(q)
 	}
 	for class, n := range omitted {
-		l.encode(queued{time.Now(), class, event{"log lines omitted", logrus.Fields{logfield.Count: n}}})
+		omission := event{"log lines omitted", logrus.Fields{logfield.Count: n}}
+		l.encode(queued{at: time.Now(), class: class, event: omission})
 	}
 	if len(l.buffer) > 0 {
 		_, _ = l.logger.Out.Write(l.buffer) // there is nowhere else to report it
@@ -132,19 +135,18 @@
 }
 
 func (l *Log) encode(q queued) {
-	e, rare := q.record.(event)
-	if !rare {
+	if q.record != nil {
 		line := newLine(l.buffer, q.at, q.class, l.instance)
 		q.record.Encode(line)
 		l.buffer = line.end()
 		return
 	}
-	data := make(logrus.Fields, len(e.fields)+2)
-	for k, v := range e.fields {
+	data := make(logrus.Fields, len(q.event.fields)+2)
+	for k, v := range q.event.fields {
 		data[k] = v
 	}
 	data[logfield.Class], data[logfield.Instance] = q.class, l.instance
-	entry := &logrus.Entry{Logger: l.logger, Data: data, Time: q.at, Level: logrus.InfoLevel, Message: e.message}
+	entry := &logrus.Entry{Logger: l.logger, Data: data, Time: q.at, Level: logrus.InfoLevel, Message: q.event.message}
 	b, err := l.logger.Formatter.Format(entry)
 	if err != nil {
 		b = []byte(`{"msg":"log line can't be formatted"}` + "\n")
