--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -60,12 +61,11 @@
 	s.store.SetFaults(standin.Faults{Deaf: true})
 	old.Register(s.store, "draining")
 	s.target("i-a2", 0xa2)
-	s.store.Put(platform.ConfigKind, "main", config(2, `{"name":"new","host":"198.18.0.9","pathPrefix":"/80/","type":"safe","service":"booking"}`))
+	s.addRoute()
 	s.store.ForgetHistory()
 	s.store.SetFaults(standin.Faults{})
 	s.store.CutConnections()
 	c := s.client(one)
-	added := view.Endpoint{Addr: [4]byte{198, 18, 0, 9}, Port: 80}
 	eventually(t, "the new route and target", func() bool {
 		id, err := ask(t, c, added)
 		return err == nil && id == "i-a2"
@@ -82,12 +82,12 @@
 	one := s.start(1, s.store.Addr())
 	one.awaitReady()
 	s.store.SetFaults(standin.Faults{Deaf: true})
-	s.store.Put(platform.ConfigKind, "main", config(2, `{"name":"new","host":"198.18.0.9","pathPrefix":"/80/","type":"safe","service":"booking"}`))
+	s.addRoute()
 	eventually(t, "a watch that ends without the event", func() bool { return s.store.DeafAnswers() > 0 })
 	s.store.SetFaults(standin.Faults{})
 	c := s.client(one)
 	eventually(t, "the change", func() bool {
-		_, err := ask(t, c, view.Endpoint{Addr: [4]byte{198, 18, 0, 9}, Port: 80})
+		_, err := ask(t, c, added)
 		return err == nil
 	})
 }
@@ -107,9 +107,9 @@
 	c := s.client(two)
 	_, err := ask(t, c, booking)
 	must.NoError(t, err)
-	s.store.Put(platform.ConfigKind, "main", config(2, `{"name":"new","host":"198.18.0.9","pathPrefix":"/80/","type":"safe","service":"booking"}`))
+	s.addRoute()
 	eventually(t, "the change, told by the peer", func() bool {
-		_, err := ask(t, c, view.Endpoint{Addr: [4]byte{198, 18, 0, 9}, Port: 80})
+		_, err := ask(t, c, added)
 		return err == nil
 	})
 }
@@ -137,12 +137,7 @@
 func TestUnreadableEntries(t *testing.T) {
 	s := newSite(t)
 	s.target("i-a1", 0xa1)
-	for name, spec := range map[string]string{
-		"i-b1": `{"service":7}`, "i-b2": `"text"`, "i-b3": `{}`, "strange": `{"service":"booking"}`,
-		"i-b4": `{"service":"booking","address":"127.0.0.1:9","zone":"a","slots":3,"state":"dancing"}`,
-	} {
-		s.store.Put(platform.TargetKind, name, spec)
-	}
+	spoilt := s.store.SpoilTargets()
 	one := s.start(1, s.store.Addr())
 	one.awaitReady()
 	c := s.client(one)
@@ -151,7 +146,7 @@
 		must.NoError(t, err)
 		must.Eq(t, "i-a1", id)
 	}
-	must.StrContains(t, one.metrics(), `guavaloom_edge_unreadable_total{kind="servers"} 5`)
+	must.StrContains(t, one.metrics(), fmt.Sprintf("guavaloom_edge_unreadable_total{kind=%q} %d", platform.TargetKind, spoilt))
 }
 
 // Guards against a client that waits where nothing can serve it.
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -29,13 +29,18 @@
 
 var booking = view.Endpoint{Addr: [4]byte{198, 18, 0, 1}, Port: 443}
 
-// config returns a configuration with the booking route and further ones.
-func config(version int, more ...string) string {
-	routes := `{"name":"booking","host":"198.18.0.1","pathPrefix":"/443/","type":"safe","service":"booking"}`
-	for _, r := range more {
-		routes += "," + r
-	}
-	return fmt.Sprintf(`{"version":%d,"routes":[%s],"limits":{"idleTimeoutMs":15000}}`, version, routes)
+// added is an endpoint to which a route is added during a test.
+var added = view.Endpoint{Addr: [4]byte{198, 18, 0, 9}, Port: 80}
+
+// configure stores a configuration with the booking route and further ones.
+func (s *site) configure(version int, more ...standin.Route) {
+	routes := append([]standin.Route{{Name: "booking", Endpoint: booking, Service: "booking"}}, more...)
+	s.store.PutConfig(version, routes...)
+}
+
+// addRoute stores a second version of the configuration, with a new route.
+func (s *site) addRoute() {
+	s.configure(2, standin.Route{Name: "new", Endpoint: added, Service: "booking"})
 }
 
 // site is a store, targets and instances on loopback addresses.
@@ -49,7 +54,7 @@
 	t.Helper()
 	s := &site{t: t, store: standin.New(), packetPort: freePort(t)}
 	t.Cleanup(s.store.Close)
-	s.store.Put(platform.ConfigKind, "main", config(1))
+	s.configure(1)
 	return s
 }
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -6,7 +6,6 @@
 	"syscall"
 	"time"
 
-	"guavaloom.example/guavaloom/platform"
 	"guavaloom.example/guavaloom/platform/standin"
 )
 
@@ -56,7 +55,7 @@
 	case 11:
 		return w.lapse(lasting)
 	default:
-		return w.once("spoilt entry", func() { w.store.Put(platform.TargetKind, "i-bad", `{"service":7}`) }, 0)
+		return w.once("spoilt entry", func() { w.store.SpoilTargets() }, 0)
 	}
 }
 
@@ -90,7 +89,7 @@
 	return w.lasting("crash "+t.ID(), heartbeatsGone+time.Second, func() {
 		w.finish(t)
 		time.AfterFunc(heartbeatsGone, func() {
-			w.store.Delete(platform.TargetKind, t.ID())
+			w.store.RemoveTarget(t.ID())
 			w.replace(other, at)
 			w.replace(t.Service(), netip.AddrPort{})
 		})
@@ -143,7 +142,7 @@
 	}
 	return w.lasting("lapse "+t.ID(), d+2*time.Second, func() {
 		w.store.SetFaults(standin.Faults{Status: http.StatusServiceUnavailable})
-		w.store.Delete(platform.TargetKind, t.ID())
+		w.store.RemoveTarget(t.ID())
 		time.AfterFunc(d, func() {
 			w.store.SetFaults(standin.Faults{})
 			w.registerAgain(t)
@@ -178,7 +177,7 @@
 		t.drainingAt = time.Now()
 		w.mu.Unlock()
 		time.AfterFunc(drainBound+2*time.Second, func() {
-			w.store.Delete(platform.TargetKind, t.ID())
+			w.store.RemoveTarget(t.ID())
 			w.finish(t)
 		})
 		return "drain " + t.ID()
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"guavaloom.example/guavaloom/platform"
 )
 
 // instance is one process of the built program, which is started again when it ends.
@@ -45,7 +47,7 @@
 
 func (i *instance) launch() error {
 	i.cmd = exec.Command(i.program)
-	i.cmd.Env = []string{"GUAVALOOM_SETTINGS=" + i.file}
+	i.cmd.Env = []string{platform.SettingsVariable + "=" + i.file}
 	i.cmd.Stdout, i.cmd.Stderr = i.log, i.log
 	// The process ends with the soak, also if that is killed.
 	i.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -11,7 +11,6 @@
 	"guavaloom.example/guavaloom/internal/forwarding"
 	"guavaloom.example/guavaloom/internal/rendezvous"
 	"guavaloom.example/guavaloom/internal/view"
-	"guavaloom.example/guavaloom/platform"
 	"guavaloom.example/guavaloom/platform/standin"
 )
 
@@ -124,14 +123,11 @@
 // putConfig writes the configuration with the present routes. The caller holds mu.
 func (w *world) putConfig() {
 	w.version += 1 + w.rng.Intn(3)
-	spec := ""
+	routes := make([]standin.Route, 0, len(w.routes))
 	for n := range w.routes {
-		if spec != "" {
-			spec += ","
-		}
-		spec += fmt.Sprintf(`{"name":"r%d","host":"198.18.0.%d","pathPrefix":"/443/","type":"safe","service":"%s"}`, n, n, serviceOf(n))
+		routes = append(routes, standin.Route{Name: fmt.Sprintf("r%d", n), Endpoint: endpoint(n), Service: serviceOf(n)})
 	}
-	w.store.Put(platform.ConfigKind, "main", fmt.Sprintf(`{"version":%d,"routes":[%s],"limits":{"idleTimeoutMs":15000}}`, w.version, spec))
+	w.store.PutConfig(w.version, routes...)
 }
 
 // addTarget starts and registers a target, at an address if one is given.
