--- a/internal/forwarding/flows.go
+++ b/internal/forwarding/flows.go
@@ -28,6 +28,8 @@
 	busy       bool
 	dataAt     time.Duration
 	requestSeq uint32
+	// sentAt is when data was last passed on, new or repeated.
+	sentAt time.Duration
 	// nextSeq follows the newest data of the client; ack is its newest acknowledgement.
 	nextSeq, ack uint32
 }
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -12,8 +12,11 @@
 	// freshEnough is the age up to which the configuration may be used to refuse a
 	// flow for want of a route: longer than a watch of the store lasts.
 	freshEnough = 5 * time.Second
-	// retransmission is the shortest time after which a client repeats data.
+	// retransmission is the shortest time after which a client repeats a packet.
 	retransmission = 200 * time.Millisecond
+	// stall is a pause between two packets or ticks that shows that this process
+	// stood still: ticks come every 500 ms.
+	stall = 1200 * time.Millisecond
 	// unknownGrace is how long a token may be unknown before its flow is reset. The
 	// entry of a target that has just started may be on its way.
 	unknownGrace = 2 * time.Second
@@ -60,6 +63,9 @@
 	observer Observer
 	unknown  map[uint32]time.Duration // first seen, by token
 	placed   uint64
+	// lastAt is the time of the last packet or tick. awakeAt is the end of the last
+	// stall: what was not answered before it says nothing of a target.
+	lastAt, awakeAt time.Duration
 }
 
 // New returns a forwarder of an instance in a data centre.
@@ -114,6 +120,7 @@
 
 // Handle decides on a packet that arrived at the time now.
 func (f *Forwarder) Handle(now time.Duration, s *Segment) Decision {
+	f.noteTime(now)
 	if !f.View.Complete() {
 		return Decision{Verdict: Hold, Reason: NotReady}
 	}
@@ -123,6 +130,14 @@
 	return f.later(now, s)
 }
 
+// noteTime notices that the process stood still.
+func (f *Forwarder) noteTime(now time.Duration) {
+	if now-f.lastAt > stall {
+		f.awakeAt = now
+	}
+	f.lastAt = now
+}
+
 // first places the first packet of a flow, or a copy of it.
 func (f *Forwarder) first(now time.Duration, s *Segment) Decision {
 	if s.ACK {
@@ -158,6 +173,9 @@
 // silentSince reports whether the target of an opening flow has shown no sign of
 // life since the flow's first packet was sent to it.
 func (f *Forwarder) silentSince(now time.Duration, state *flowState) bool {
+	if state.openingAt < f.awakeAt || now < state.openingAt+retransmission/2 {
+		return false // copies that waited here while the process stood still
+	}
 	if f.unanswered(now, state.load, state.openingAt) {
 		return true
 	}
@@ -165,7 +183,7 @@
 }
 
 func (f *Forwarder) unanswered(now time.Duration, l *load, sentAt time.Duration) bool {
-	if !l.unanswered(now, sentAt) {
+	if sentAt < f.awakeAt || !l.unanswered(now, sentAt) {
 		return false
 	}
 	e := Event{Target: l.target, Kind: Suspected}
@@ -317,10 +335,11 @@
 func (f *Forwarder) data(now time.Duration, s *Segment, state *flowState) {
 	end := s.Seq + uint32(len(s.Data))
 	if !after(end, state.nextSeq) {
-		if now >= state.dataAt+retransmission {
+		if now >= state.sentAt+retransmission {
 			// Otherwise the client still sends new data, so that its target answers.
-			f.unanswered(now, state.load, state.dataAt)
+			f.unanswered(now, state.load, state.sentAt)
 		}
+		state.sentAt = now
 		return
 	}
 	if !state.busy {
@@ -330,7 +349,7 @@
 	if end-state.requestSeq > window {
 		f.heard(now, state.load) // the target has acknowledged what went before
 	}
-	state.nextSeq, state.dataAt = end, now
+	state.nextSeq, state.dataAt, state.sentAt = end, now, now
 }
 
 // ResetFlow is a flow that has to be reset.
@@ -343,6 +362,7 @@
 // Tick forgets old flows and targets and returns the open flows whose target has
 // ended: their clients wait for an answer that can't come.
 func (f *Forwarder) Tick(now time.Duration) []ResetFlow {
+	f.noteTime(now)
 	idle := f.View.Config().IdleTimeout
 	if idle <= 0 {
 		idle = defaultIdleTimeout
--- a/internal/forwarding/forwarder_test.go
+++ b/internal/forwarding/forwarder_test.go
@@ -258,6 +258,29 @@
 	must.Eq(t, Forward, b.data(1600*ms, f, d.Token, 101, 500, 10).Verdict)
 }
 
+// Load pattern: the process stands still for three seconds with a request in flight,
+// while the client's repetitions wait in the socket and the target's entry lapses.
+// Guards against taking the silence of this process for that of its target: the
+// flow must neither be reset nor moved (soak seed 152).
+func TestOwnStallIsNoSilence(t *testing.T) {
+	b := newBed()
+	b.put(0, b.entry("i-1", "booking", "a"))
+	b.put(0, b.entry("i-2", "booking", "a"))
+	f, opening := flowTo(bookingAddr, 1), flowTo(bookingAddr, 2)
+	d := b.syn(1000*ms, f, 0)
+	b.accept(1010*ms, f, d)
+	b.data(1020*ms, f, d.Token, 101, 500, 10)
+	first := b.syn(1020*ms, opening, 0)
+	b.remove(1021*ms, d.Target.ID)
+	const woken = 4000 * ms
+	for range 3 {
+		must.Eq(t, Forward, b.data(woken, f, d.Token, 101, 500, 10).Verdict)
+	}
+	must.Eq(t, first.Target.ID, b.syn(woken, opening, 1).Target.ID)
+	must.SliceEmpty(t, *b.events)
+	must.Eq(t, Reset, b.data(woken+retransmission, f, d.Token, 101, 500, 10).Verdict) // silent since
+}
+
 // Guards against resetting the flows of a target that this instance has not heard
 // of yet, and against leaving clients of one that ended before it started.
 func TestUnknownToken(t *testing.T) {
--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -67,6 +67,14 @@
 	return w.running == 0 && w.faultUntil.Before(t.Add(-calmFor))
 }
 
+// present reports whether a route is still in the configuration.
+func (w *world) present(n int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_, ok := w.routes[n]
+	return ok
+}
+
 // useFlow opens a flow, makes some requests and checks who answers.
 func (w *world) useFlow(c *standin.Client, rng *rand.Rand, n int, expect expectation) {
 	began := time.Now()
@@ -75,7 +83,7 @@
 	f, err := c.Open(ctx, endpoint(n))
 	if err != nil {
 		w.count(false)
-		if expect == mustServe && w.calmSince(began) {
+		if expect == mustServe && w.calmSince(began) && w.present(n) {
 			w.report("route %d was not served though it was in force and nothing was wrong: %v", n, err)
 		}
 		return
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -33,8 +33,17 @@
 	cause string
 }{
 	{4, lapseTold}, {21, lapseTold}, {22, lapseTold}, {37, lapseTold}, {38, lapseTold}, {39, lapseTold},
+	{151, removedMeanwhile}, {152, ownPause},
 }
 
+// removedMeanwhile was a fault of the soak: a route was removed while a flow to it
+// was being opened, and its refusal was taken for a broken promise.
+const removedMeanwhile = "route removed while a flow to it was opened"
+
+// ownPause: the process was paused with a request in flight while its target's entry
+// lapsed, and took the silence for the target's end.
+const ownPause = "silence of the instance's own pause taken for the target's"
+
 // lapseTold: a watch that was waiting told of entries that lapsed while the store
 // refused other calls, and open flows of their living targets were reset.
 const lapseTold = "lapsed entries told by a waiting watch, no outage noticed"
