--- a/internal/edge/packets.go
+++ b/internal/edge/packets.go
@@ -99,20 +99,21 @@
 // record logs what a packet's decision rests on, for first packets, resets and
 // drops, and for the packets that begin a request.
 func (i *Instance) record(now time.Duration, s *forwarding.Segment, d *forwarding.Decision) {
-	r := &decisionRecord{flow: s.Flow, token: s.Token, decision: *d}
-	class := flowClass
 	switch {
 	case d.Reason != "":
-		r.config = i.forward.View.Config().Version
-		r.configAge, r.targetAge = now-i.forward.View.ConfigFreshAt, now-i.forward.View.TargetsFreshAt
+		v := i.forward.View
+		i.log.Add(flowClass, &decisionRecord{
+			flow: s.Flow, decision: *d, config: v.Config().Version,
+			configAge: now - v.ConfigFreshAt, targetAge: now - v.TargetsFreshAt,
+		})
 	case len(s.Data) > 0:
-		if r.request = i.platform.RequestID(s.Data); r.request == "" {
+		request := i.platform.RequestID(s.Data)
+		if request == "" {
 			return
 		}
-		class = requestClass
-		r.configAge, r.targetAge = -1, now-i.forward.View.TargetsFreshAt
-	default:
-		return
+		i.log.Add(requestClass, &decisionRecord{
+			flow: s.Flow, decision: *d, request: request,
+			configAge: -1, targetAge: now - i.forward.View.TargetsFreshAt,
+		})
 	}
-	i.log.Add(class, r)
 }
--- a/internal/edge/report.go
+++ b/internal/edge/report.go
@@ -28,7 +28,6 @@
 // decisionRecord is the log line of a decision on a packet.
 type decisionRecord struct {
 	flow     forwarding.FlowID
-	token    uint32
 	request  string
 	decision forwarding.Decision
 	config   uint64
--- a/internal/replica/plan.go
+++ b/internal/replica/plan.go
@@ -79,9 +79,6 @@
 	return 0
 }
 
-// Failing reports whether the last call failed.
-func (p *Plan) Failing() bool { return p.failures > 0 }
-
 func (p *Plan) backoff() time.Duration {
 	pause := firstPause << min(p.failures-1, 10)
 	pause = min(pause, maxPause)
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -123,9 +122,6 @@
 			}
 		}
 		if err != nil {
-			if err != io.EOF {
-				return
-			}
 			return
 		}
 	}
