edge: derive every time limit from the deployment's bounds

Cause: a stop of 4.5 s, a watch of 3.2 s, 90 s of memory for removed targets and the other times were constants made for one deployment. A deployment with 3 s to stop, 1.5 s for a configuration, slow heartbeats or a short history was served by luck: its process would have been killed before its own limit, a watch would have outlasted the history that it goes on from.

Change: the settings have the bounds ([deployment], [store] history_s and reads_per_s, with units, ranges and defaults), the platform's template fills them, and internal/edge/timing.go states the rule of each time.

--- a/cmd/guavaloom-edge/main.go
+++ b/cmd/guavaloom-edge/main.go
@@ -43,7 +43,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	if err := edge.New(s, platform.ForInstance(s.Store), log).Run(ctx, file, reload); err != nil {
+	if err := edge.New(s, platform.ForInstance(s), log).Run(ctx, file, reload); err != nil {
 		log.WithError(err).Error("failed")
 		return exitFailed
 	}
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -134,7 +134,7 @@
 	at := func() netip.AddrPort { return netip.AddrPortFrom(ip, freePort(s.t)) }
 	set := &edge.Settings{
 		Name: fmt.Sprintf("instance-%d", n), Zone: "a", Packet: netip.AddrPortFrom(ip, s.packetPort),
-		Ready: at(), Peer: at(), Admin: at(), Store: store, Seeds: seeds, MemoryMB: 128, Workers: 1,
+		Ready: at(), Peer: at(), Admin: at(), Store: store, Seeds: seeds, MemoryMB: 128, Workers: 1, Deployment: edge.DefaultDeployment(),
 	}
 	log := &lockedBuffer{}
 	logger, err := logfield.New(log, "info", logfield.JSON)
@@ -146,7 +146,7 @@
 	}
 	node.write("")
 	go func() {
-		node.ended <- edge.New(set, platform.ForInstance(store), logger).Run(ctx, node.file, node.reload)
+		node.ended <- edge.New(set, platform.ForInstance(set), logger).Run(ctx, node.file, node.reload)
 	}()
 	s.t.Cleanup(func() {
 		stop()
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -63,6 +63,7 @@
 // Instance is one running instance.
 type Instance struct {
 	settings *Settings
+	timing   Timing
 	platform Platform
 	start    time.Time
 	log      *eventlog.Log
@@ -93,7 +94,7 @@
 // New returns an instance that logs to out.
 func New(s *Settings, p Platform, out *logrus.Logger) *Instance {
 	i := &Instance{
-		settings: s, platform: p, start: time.Now(),
+		settings: s, timing: s.Deployment.Timing(), platform: p, start: time.Now(),
 		log:      eventlog.New(out, s.Name),
 		metrics:  metric.NewSet(),
 		replica:  replica.New(p.ConfigKind, p.TargetKind, p.InstanceKind),
@@ -102,7 +103,7 @@
 		stopped:  make(chan struct{}),
 	}
 	i.counters = newCounters(i.metrics)
-	i.forward = forwarding.New(s.Zone, observer{i})
+	i.forward = forwarding.New(s.Zone, i.timing.Forwarding, view.New(i.timing.View), observer{i})
 	return i
 }
 
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -27,7 +27,7 @@
 			continue
 		}
 		f := &following{i: i, addr: addr, began: i.now()}
-		err := replica.Follow(ctx, i.peers, addr.String(), replica.Request{Held: i.heldVersions(whole)}, f.take)
+		err := replica.Follow(ctx, i.peers, addr.String(), replica.Request{Held: i.heldVersions(whole), Silence: i.timing.Stream.Silence}, f.take)
 		if ctx.Err() != nil {
 			return
 		}
@@ -58,14 +58,14 @@
 			sleep(ctx, max(rest, idlePause))
 		default:
 			i.askEach(ctx, i.registry.ofOtherZones(now))
-			sleep(ctx, now+askPause-i.now())
+			sleep(ctx, now+i.timing.AskPause-i.now())
 		}
 	}
 }
 
 // askEach asks some instances at the same time.
 func (i *Instance) askEach(ctx context.Context, addrs []netip.AddrPort) {
-	limited, cancel := context.WithTimeout(ctx, askTimeout)
+	limited, cancel := context.WithTimeout(ctx, i.timing.AskTimeout)
 	defer cancel()
 	var all sync.WaitGroup
 	for _, addr := range addrs {
@@ -77,7 +77,7 @@
 // ask takes one message of an instance.
 func (i *Instance) ask(ctx context.Context, addr netip.AddrPort) {
 	f := &following{i: i, addr: addr, began: i.now()}
-	err := replica.Follow(ctx, i.peers, addr.String(), replica.Request{Held: i.heldVersions(false), Once: true}, func(m replica.Message) (bool, error) {
+	err := replica.Follow(ctx, i.peers, addr.String(), replica.Request{Held: i.heldVersions(false), Once: true, Silence: i.timing.Stream.Silence}, func(m replica.Message) (bool, error) {
 		_, err := f.take(m)
 		return true, err // there is one message only
 	})
@@ -92,7 +92,7 @@
 	if _, follower := i.registry.parent(now); follower {
 		return idlePause
 	}
-	return max(askPeersAfter-i.oldest(now), 0)
+	return max(i.timing.AskAfter-i.oldest(now), 0)
 }
 
 // heldVersions returns the versions of the replica by kind; 0, which asks for
@@ -162,4 +162,6 @@
 }
 
 // peerHandler serves the replica to other instances until this one stops.
-func (i *Instance) peerHandler() http.Handler { return i.replica.Handler(i.now, i.stopped) }
+func (i *Instance) peerHandler() http.Handler {
+	return i.replica.Handler(i.timing.Stream, i.now, i.stopped)
+}
--- a/internal/edge/reading.go
+++ b/internal/edge/reading.go
@@ -16,24 +16,6 @@
 )
 
 const (
-	// storeWait is how long a watch of the store waits. With the slack of a watch
-	// it stays below the 4 s for which an instance must have been undisturbed to be
-	// bound by the time limits of changes.
-	storeWait = 3200 * time.Millisecond
-	// instanceWait is the same for the list of instances, which may be old.
-	instanceWait = 20 * time.Second
-	// askPause is how often an instance whose replica is not fresh asks others: with
-	// askPeersAfter, a change that another data centre knows of is learned well within
-	// the 3 s in which it has to be in force.
-	askPause = 700 * time.Millisecond
-	// askTimeout is the limit of such a call, above the users' slowest links.
-	askTimeout = 500 * time.Millisecond
-	// askPeersAfter is the age of the replica at which an instance that reads the
-	// store asks other instances too.
-	askPeersAfter = 1200 * time.Millisecond
-	// readStoreAfter is the age at which an instance that reads from others turns
-	// to the store: longer than a watch of the store, whose end its source tells it.
-	readStoreAfter = storeWait + time.Second
 	// firstFromPeers is how long a starting instance waits for other instances to
 	// pass on their replica before it reads the store.
 	// It exceeds a round trip between data centres, and is short because no packet
@@ -74,13 +56,13 @@
 
 // readStore follows a kind at the store, as long as this instance should.
 func (i *Instance) readStore(ctx context.Context, kind string) {
-	wait := storeWait
+	wait := i.timing.StoreWait
 	if kind == i.platform.InstanceKind {
-		wait = instanceWait
+		wait = i.timing.InstanceWait
 	}
 	rng := newRand()
-	staleAfter := readStoreAfter + time.Duration(rng.Float64()*float64(strayPause/2))
-	plan := replica.NewPlan(wait, rng)
+	staleAfter := i.timing.ReadStoreAfter + time.Duration(rng.Float64()*float64(strayPause/2))
+	plan := replica.NewPlan(wait, i.timing.Coalesce, rng)
 	lost := false
 	for ctx.Err() == nil {
 		if !i.needsStore(kind, staleAfter) {
--- a/internal/edge/registry_test.go
+++ b/internal/edge/registry_test.go
@@ -137,13 +137,14 @@
 				settings: &Settings{}, registry: r, replica: replica.New(targets, instances, config),
 				platform: Platform{TargetKind: targets, InstanceKind: instances, ConfigKind: config},
 			}
+			timing := DefaultDeployment().Timing()
 			at := firstFromPeers
-			must.True(t, i.firstListDue(at, instances, readStoreAfter))
-			must.False(t, i.firstListDue(at-1, targets, readStoreAfter))
-			if i.firstListDue(at, targets, readStoreAfter) {
+			must.True(t, i.firstListDue(at, instances, timing.ReadStoreAfter))
+			must.False(t, i.firstListDue(at-1, targets, timing.ReadStoreAfter))
+			if i.firstListDue(at, targets, timing.ReadStoreAfter) {
 				lists++
 			}
-			if i.firstListDue(readStoreAfter, targets, readStoreAfter) {
+			if i.firstListDue(timing.ReadStoreAfter, targets, timing.ReadStoreAfter) {
 				later++
 			}
 		}
@@ -170,7 +171,7 @@
 	store := hangingStore{asked: make(chan struct{}, 2)}
 	i := &Instance{replica: replica.New("targets"), platform: Platform{Store: store, InstanceKind: "instances"}}
 	i.firstLists, i.endFirstLists = context.WithCancel(t.Context())
-	plan := replica.NewPlan(time.Second, newRand())
+	plan := replica.NewPlan(time.Second, time.Second, newRand())
 	go func() { <-store.asked; i.endFirstLists() }()
 	_, left := i.callStore(t.Context(), "targets", plan)
 	must.True(t, left)
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -6,6 +6,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -31,6 +32,8 @@
 	// FirstStart tells that all instances start together for the first time, some
 	// seconds before there is traffic.
 	FirstStart bool
+	// Deployment has the bounds that the deployment sets.
+	Deployment Deployment
 }
 
 // LoadSettings reads and checks a file. It reports all mistakes at once as
@@ -44,7 +47,8 @@
 }
 
 func parseSettings(file string, data []byte) (*Settings, error) {
-	s := &Settings{Workers: 1, MemoryMB: 128}
+	s := &Settings{Workers: 1, MemoryMB: 128, Deployment: DefaultDeployment()}
+	d := &s.Deployment
 	f := inifile.Scan(file, data)
 	sections := map[string][]inifile.Field{
 		"instance": {
@@ -58,7 +62,20 @@
 			{Key: "peer", Required: true, Set: inifile.Address(&s.Peer)},
 			{Key: "admin", Required: true, Set: inifile.Address(&s.Admin)},
 		},
-		"store": {{Key: "address", Required: true, Set: inifile.Address(&s.Store)}},
+		"store": {
+			{Key: "address", Required: true, Set: inifile.Address(&s.Store)},
+			{Key: "history_s", Set: span(&d.History, time.Second, time.Second, time.Hour)},
+			{Key: "reads_per_s", Set: count(&d.ReadsPerSecond, 1, 1_000_000)},
+		},
+		"deployment": {
+			{Key: "stop_grace_s", Set: span(&d.StopGrace, time.Second, time.Second, time.Hour)},
+			{Key: "config_bound_ms", Set: span(&d.ConfigBound, time.Millisecond, 300*time.Millisecond, time.Hour)},
+			{Key: "drain_bound_ms", Set: span(&d.DrainBound, time.Millisecond, 300*time.Millisecond, time.Hour)},
+			{Key: "stable_window_ms", Set: span(&d.StableWindow, time.Millisecond, 500*time.Millisecond, time.Hour)},
+			{Key: "heartbeat_ms", Set: span(&d.Heartbeat, time.Millisecond, 50*time.Millisecond, time.Minute)},
+			{Key: "max_flow_s", Set: span(&d.MaxFlow, time.Second, time.Second, 24*time.Hour)},
+			{Key: "recovery_s", Set: span(&d.Recovery, time.Second, time.Second, time.Hour)},
+		},
 		"peers": {{Key: "seeds", Set: addresses(&s.Seeds)}},
 		"limits": {
 			{Key: "memory_mb", Set: inifile.Number(&s.MemoryMB)},
@@ -69,7 +86,7 @@
 	for _, sec := range f.Sections {
 		fields, known := sections[sec.Name]
 		if !known {
-			f.Fail(sec, "", "unknown section, allowed are instance, listen, store, peers, limits")
+			f.Fail(sec, "", "unknown section, allowed are instance, listen, store, deployment, peers, limits")
 			continue
 		}
 		present[sec.Name] = true
@@ -97,6 +114,38 @@
 	}
 }
 
+// span returns a setter for a number of units between two limits, fractions allowed.
+// An empty value, of a deployment that does not set the bound, leaves the default.
+func span(dst *time.Duration, unit, least, most time.Duration) func(string) string {
+	return func(v string) string {
+		if v == "" {
+			return ""
+		}
+		n, err := strconv.ParseFloat(v, 64)
+		if err != nil || !(n >= float64(least)/float64(unit) && n <= float64(most)/float64(unit)) {
+			return fmt.Sprintf("bad number %q, allowed is %g to %g", v, float64(least)/float64(unit), float64(most)/float64(unit))
+		}
+		*dst = time.Duration(n * float64(unit))
+		return ""
+	}
+}
+
+// count returns a setter for a number between two limits. It reads an empty value as
+// span does, and takes the whole part of a fraction.
+func count(dst *uint64, least, most uint64) func(string) string {
+	return func(v string) string {
+		if v == "" {
+			return ""
+		}
+		n, err := strconv.ParseFloat(v, 64)
+		if err != nil || !(n >= float64(least) && n <= float64(most)) {
+			return fmt.Sprintf("bad number %q, allowed is %d to %d", v, least, most)
+		}
+		*dst = uint64(n)
+		return ""
+	}
+}
+
 const maxWorkers = 64
 
 func workers(dst *uint64) func(string) string {
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -12,13 +12,8 @@
 )
 
 const (
-	// leaveAfter is how long a stopping instance forwards at least: the routers take
-	// it out of rotation after two checks, half a second apart.
-	leaveAfter = 1500 * time.Millisecond
 	// quietFor is the silence after which a stopping instance ends.
 	quietFor = 500 * time.Millisecond
-	// stopLimit is the longest stop; the platform kills the process after 6 s.
-	stopLimit = 4500 * time.Millisecond
 	// settingsEvery is how often the settings file is looked at.
 	settingsEvery = 3 * time.Second
 )
@@ -38,7 +33,7 @@
 		i.mu.Lock()
 		quiet := now - i.lastPacket
 		i.mu.Unlock()
-		if now-began >= stopLimit || now-began >= leaveAfter && quiet >= quietFor {
+		if now-began >= i.timing.StopLimit || now-began >= i.timing.Leave && quiet >= quietFor {
 			i.log.Event(lifeClass, "stopped", logrus.Fields{logfield.Age: milliseconds(now - began)})
 			return
 		}
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -9,9 +9,6 @@
 )
 
 const (
-	// freshEnough is the age up to which the configuration may be used to refuse a
-	// flow for want of a route: longer than a watch of the store lasts.
-	freshEnough = 5 * time.Second
 	// retransmission is the shortest time after which a client repeats a packet.
 	retransmission = 200 * time.Millisecond
 	// stall is a pause between two packets or ticks that shows that this process
@@ -24,6 +21,13 @@
 	maxUnknown = 1024
 )
 
+// Limits are the times that depend on the deployment.
+type Limits struct {
+	// RouteCertain is the age up to which the configuration may be used to refuse a
+	// flow for want of a route: longer than a watch of the store lasts.
+	RouteCertain time.Duration
+}
+
 // Event is a change in what the forwarder believes of a target.
 type Event struct {
 	Target *view.Target
@@ -76,6 +80,7 @@
 type Forwarder struct {
 	View *view.View
 
+	limits   Limits
 	chooser  chooser
 	flows    *table
 	loads    map[target.ID]*load
@@ -89,9 +94,10 @@
 }
 
 // New returns a forwarder of an instance in a data centre.
-func New(zone string, o Observer) *Forwarder {
+func New(zone string, l Limits, v *view.View, o Observer) *Forwarder {
 	return &Forwarder{
-		View:     view.New(),
+		View:     v,
+		limits:   l,
 		chooser:  chooser{zone: zone, parts: 1},
 		flows:    newTable(),
 		loads:    map[target.ID]*load{},
@@ -187,7 +193,7 @@
 }
 
 func (f *Forwarder) noRoute(now time.Duration) Decision {
-	if now > f.View.ConfigFreshAt+freshEnough {
+	if now > f.View.ConfigFreshAt+f.limits.RouteCertain {
 		return Decision{Reason: RouteUnsure}
 	}
 	return Decision{Verdict: Reset, Reason: NoRoute}
--- a/internal/forwarding/forwarder_test.go
+++ b/internal/forwarding/forwarder_test.go
@@ -13,6 +13,12 @@
 	"guavaloom.example/guavaloom/internal/view"
 )
 
+// Limits of the users' first deployments.
+var (
+	limits     = Limits{RouteCertain: 5 * time.Second}
+	viewLimits = view.Limits{ReturnGrace: 3 * time.Second, ForgetAfter: 90 * time.Second}
+)
+
 const ms = time.Millisecond
 
 // events records what the forwarder reports.
@@ -42,7 +48,7 @@
 
 func newBed() *bed {
 	b := &bed{events: &events{}}
-	b.Forwarder = New("a", b.events)
+	b.Forwarder = New("a", limits, view.New(viewLimits), b.events)
 	b.View.SetConfig(view.Config{Version: 1, Routes: []view.Route{
 		{Name: "booking", Endpoint: bookingAddr, Shares: []view.Share{{Service: "booking", Weight: 1}}},
 		{Name: "proofing", Endpoint: proofingAddr, Kind: view.Upload, Shares: []view.Share{{Service: "proofing", Weight: 1}}},
@@ -301,14 +307,14 @@
 	f := flowTo(view.Endpoint{Addr: [4]byte{198, 18, 9, 9}, Port: 1}, 1)
 	b.View.ConfigFreshAt = 10 * time.Second
 	must.Eq(t, Reset, b.syn(11*time.Second, f, 0).Verdict)
-	d := b.syn(10*time.Second+freshEnough+ms, f, 0)
+	d := b.syn(10*time.Second+limits.RouteCertain+ms, f, 0)
 	must.Eq(t, Drop, d.Verdict)
 	must.Eq(t, RouteUnsure, d.Reason)
 }
 
 // Guards against packets that are lost while a new instance reads its first list.
 func TestHoldsPacketsUntilComplete(t *testing.T) {
-	f := New("a", &events{})
+	f := New("a", limits, view.New(viewLimits), &events{})
 	d := f.Handle(0, &Segment{Flow: flowTo(bookingAddr, 1), SYN: true})
 	must.Eq(t, Hold, d.Verdict)
 	d = f.Handle(0, &Segment{Flow: flowTo(bookingAddr, 1), ACK: true, Token: 5, Data: []byte("x")})
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -22,7 +22,7 @@
 // nothing yet, or is telling others everything.
 var ErrBusy = errors.New("source is busy")
 
-// ErrSilent means that the source made no progress for the time silenceLimit.
+// ErrSilent means that the source made no progress for the time that the stream allows.
 var ErrSilent = errors.New("source is silent")
 
 // Request is what a follower asks for.
@@ -31,6 +31,8 @@
 	Held map[string]objectstore.Version
 	// Once asks for one message only.
 	Once bool
+	// Silence is how long the source may make no progress.
+	Silence time.Duration
 }
 
 // Follow hears from another instance's replica. take is called for each message
@@ -52,7 +54,7 @@
 		return errors.Wrap(err, "address of the instance")
 	}
 	asked := time.Now()
-	watchdog := time.AfterFunc(silenceLimit, cancel)
+	watchdog := time.AfterFunc(r.Silence, cancel)
 	defer watchdog.Stop()
 	resp, err := c.Do(req)
 	if err != nil {
@@ -65,7 +67,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return errors.Wrapf(objectstore.ErrUnavailable, "status %d", resp.StatusCode)
 	}
-	body := &progress{Reader: resp.Body, last: asked, made: func() { watchdog.Reset(silenceLimit) }}
+	body := &progress{Reader: resp.Body, silence: r.Silence, last: asked, made: func() { watchdog.Reset(r.Silence) }}
 	dec := json.NewDecoder(body)
 	for first := true; ; first = false {
 		body.left, body.begin = maxMessage, true
@@ -107,6 +109,8 @@
 type progress struct {
 	io.Reader
 	made func() // called for each read that brought something
+	// silence is how long the source may make no progress.
+	silence time.Duration
 	// last is the time of the last such read. began is that of the one in which the
 	// message began: the first since begin was set, or the last before.
 	last, began time.Time
@@ -127,7 +131,7 @@
 	}
 	p.left -= n
 	now := time.Now()
-	p.stalled = p.stalled || now.Sub(p.last) > silenceLimit
+	p.stalled = p.stalled || now.Sub(p.last) > p.silence
 	if p.last = now; p.begin {
 		p.began, p.begin = now, false
 	}
--- a/internal/replica/follow_test.go
+++ b/internal/replica/follow_test.go
@@ -17,13 +17,15 @@
 // hang is a limit against a test that never ends; no verdict depends on it.
 const hang = time.Minute
 
+var stream = StreamTiming{Beat: time.Second, Silence: 1700 * time.Millisecond}
+
 func still() time.Duration { return 0 }
 
 // serve returns the address of a server of the replica, and what stops it.
 func serve(t *testing.T, r *Replica) (addr string, stop func()) {
 	t.Helper()
 	stopped := make(chan struct{})
-	server := httptest.NewServer(r.Handler(still, stopped))
+	server := httptest.NewServer(r.Handler(stream, still, stopped))
 	t.Cleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://"), func() { close(stopped) }
 }
@@ -35,7 +37,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	go func() {
-		ended <- Follow(ctx, http.DefaultClient, addr, Request{Held: map[string]objectstore.Version{"k": after}}, func(m Message) (bool, error) {
+		ended <- Follow(ctx, http.DefaultClient, addr, Request{Held: map[string]objectstore.Version{"k": after}, Silence: stream.Silence}, func(m Message) (bool, error) {
 			if len(m.Frames) > 0 {
 				messages <- m
 			}
@@ -105,7 +107,7 @@
 	messages, reused := 0, false
 	for range 2 {
 		ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{GotConn: func(g httptrace.GotConnInfo) { reused = g.Reused }})
-		must.NoError(t, Follow(ctx, http.DefaultClient, addr, Request{Held: map[string]objectstore.Version{"k": 0}, Once: true}, func(Message) (bool, error) {
+		must.NoError(t, Follow(ctx, http.DefaultClient, addr, Request{Held: map[string]objectstore.Version{"k": 0}, Once: true, Silence: stream.Silence}, func(Message) (bool, error) {
 			messages++
 			return true, nil
 		}))
@@ -153,12 +155,12 @@
 // Guards against a process that stood still, and takes what is left in its buffers
 // from before the pause for the present state.
 func TestPauseOfTheFollowerIsNoticed(t *testing.T) {
-	p := &progress{Reader: strings.NewReader("{}{}"), made: func() {}, left: 100, last: time.Now()}
+	p := &progress{Reader: strings.NewReader("{}{}"), silence: stream.Silence, made: func() {}, left: 100, last: time.Now()}
 	buffer := make([]byte, 2)
 	_, err := p.Read(buffer)
 	must.NoError(t, err)
 	must.False(t, p.stalled)
-	p.last = p.last.Add(-silenceLimit - time.Millisecond)
+	p.last = p.last.Add(-stream.Silence - time.Millisecond)
 	_, err = p.Read(buffer)
 	must.NoError(t, err)
 	must.True(t, p.stalled)
@@ -184,7 +186,7 @@
 func TestFullListsAreBounded(t *testing.T) {
 	r := New("k")
 	r.List(0, "k", listing(10, object("k/a", 4)))
-	h := r.Handler(still, make(chan struct{}))
+	h := r.Handler(stream, still, make(chan struct{}))
 	ctx, cancel := context.WithCancel(t.Context())
 	ask := func(after string) *http.Request {
 		return httptest.NewRequest("GET", followPath+"?after=k:"+after, nil).WithContext(ctx)
--- a/internal/replica/plan.go
+++ b/internal/replica/plan.go
@@ -14,10 +14,6 @@
 	// each failure and is multiplied by a random factor of 0.5 to 1.5.
 	firstPause = 50 * time.Millisecond
 	maxPause   = time.Second
-	// coalescePause lets changes that come together be told in one answer, since
-	// the platform charges each call. It is a sixth of the shortest time within
-	// which a change has to be in force (3 s).
-	coalescePause = 500 * time.Millisecond
 )
 
 // Plan decides the next call to a source of one kind: a list, then watches from
@@ -26,7 +22,8 @@
 type Plan struct {
 	// Wait is how long a watch may wait for a change.
 	Wait time.Duration
-	// Coalesce is the pause after an answer with changes.
+	// Coalesce is the pause after an answer with changes. Changes that come together
+	// are then told in one answer, since the platform charges each call.
 	Coalesce time.Duration
 	Rand     *rand.Rand
 
@@ -39,8 +36,8 @@
 }
 
 // NewPlan returns the plan for a source.
-func NewPlan(wait time.Duration, r *rand.Rand) *Plan {
-	return &Plan{Wait: wait, Coalesce: coalescePause, Rand: r}
+func NewPlan(wait, coalesce time.Duration, r *rand.Rand) *Plan {
+	return &Plan{Wait: wait, Coalesce: coalesce, Rand: r}
 }
 
 // Next returns the next call of the kind.
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -131,7 +131,7 @@
 	must.Eq(t, []objectstore.Object{object("k/b", 13), removed("k/a", 15)}, l.Objects)
 }
 
-func newPlan() *Plan { return NewPlan(time.Second, rand.New(rand.NewSource(1))) }
+func newPlan() *Plan { return NewPlan(time.Second, 500*time.Millisecond, rand.New(rand.NewSource(1))) }
 
 func done(p *Plan, l objectstore.Listing, err error) time.Duration {
 	r := objectstore.Result{Call: p.Next("k"), Listing: l, Err: err}
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -15,11 +15,6 @@
 const (
 	// followPath is the path of the call by which instances follow a replica.
 	followPath = "/v1/follow"
-	// beat is the longest time between two messages to a follower.
-	beat = time.Second
-	// silenceLimit is how long a connection with a follower may make no progress: a beat
-	// and the worst delay of the users' links.
-	silenceLimit = beat + 700*time.Millisecond
 	// slowestLink is the rate in bytes a second at which a follower must take a
 	// message: a tenth of the users' slowest link.
 	slowestLink = 125_000
@@ -29,18 +24,28 @@
 	maxLists = 4
 )
 
+// StreamTiming has the times of the stream between instances.
+type StreamTiming struct {
+	// Beat is the longest time between two messages to a follower.
+	Beat time.Duration
+	// Silence is how long a connection may make no progress: a beat and the worst
+	// delay of the links.
+	Silence time.Duration
+}
+
 // server tells followers what the replica holds and each change of it, in messages
 // of JSON lines, until stop is closed.
 type server struct {
 	replica *Replica
+	timing  StreamTiming
 	now     func() time.Duration
 	stop    <-chan struct{}
 	lists   chan struct{}
 }
 
 // Handler serves the replica to other instances. now reads the steady clock.
-func (r *Replica) Handler(now func() time.Duration, stop <-chan struct{}) http.Handler {
-	s := &server{replica: r, now: now, stop: stop, lists: make(chan struct{}, maxLists)}
+func (r *Replica) Handler(timing StreamTiming, now func() time.Duration, stop <-chan struct{}) http.Handler {
+	s := &server{replica: r, timing: timing, now: now, stop: stop, lists: make(chan struct{}, maxLists)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+followPath, s.follow)
 	return mux
@@ -96,7 +101,7 @@
 		case <-s.stop:
 			return
 		case <-wake:
-		case <-time.After(beat):
+		case <-time.After(s.timing.Beat):
 		}
 	}
 }
@@ -146,17 +151,17 @@
 			return errManyLists
 		}
 	}
-	return write(w, m)
+	return s.write(w, m)
 }
 
 // write sends a message; it fails if the follower does not take it in time.
-func write(w http.ResponseWriter, m Message) error {
+func (s *server) write(w http.ResponseWriter, m Message) error {
 	text, err := encode(m)
 	if err != nil {
 		return errors.Wrap(err, "message")
 	}
 	out := http.NewResponseController(w)
-	limit := silenceLimit + time.Duration(len(text))*time.Second/slowestLink
+	limit := s.timing.Silence + time.Duration(len(text))*time.Second/slowestLink
 	if err := out.SetWriteDeadline(time.Now().Add(limit)); err != nil {
 		return errors.Wrap(err, "connection")
 	}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -10,16 +10,16 @@
 	"guavaloom.example/guavaloom/internal/target"
 )
 
-const (
-	// returnGrace is how long a removed entry may take to come back. An entry that
-	// lapsed while the store was away is back about two seconds after the store, as
-	// the users state; the rest is for the way through the store and the peers. An
-	// instance can be told of the removal without having noticed the outage.
-	returnGrace = 3 * time.Second
-	// forgetAfter is how long a removed target stays known. It exceeds the
-	// longest life of a flow that the users state (60 s).
-	forgetAfter = 90 * time.Second
-)
+// Limits are the times by which a view judges removed targets.
+type Limits struct {
+	// ReturnGrace is how long a removed entry may take to come back, since it may
+	// have lapsed only because the store was away. An instance can be told of the
+	// removal without having noticed the outage.
+	ReturnGrace time.Duration
+	// ForgetAfter is how long a removed target stays known. It exceeds the longest
+	// life of a flow.
+	ForgetAfter time.Duration
+}
 
 // View is an instance's belief. It is not safe for concurrent use.
 type View struct {
@@ -29,6 +29,7 @@
 	// OutageAt is when the store was last known not to answer.
 	OutageAt time.Duration
 
+	limits   Limits
 	config   Config
 	routes   map[Endpoint]*Route
 	haveList bool // the targets have been listed at least once
@@ -39,8 +40,9 @@
 }
 
 // New returns a view that knows nothing.
-func New() *View {
+func New(l Limits) *View {
 	return &View{
+		limits:   l,
 		routes:   map[Endpoint]*Route{},
 		targets:  map[target.ID]*Target{},
 		tokens:   map[uint32]*Target{},
@@ -164,7 +166,7 @@
 // answered since, or not for long enough.
 func (v *View) mayReturn(now time.Duration, t *Target) bool {
 	since := max(t.MissingSince, v.OutageAt)
-	return now < since+returnGrace || v.TargetsFreshAt < since
+	return now < since+v.limits.ReturnGrace || v.TargetsFreshAt < since
 }
 
 // Ended reports whether a target is known for certain to have ended.
@@ -176,7 +178,7 @@
 // and reports whether there were any.
 func (v *View) Forget(now time.Duration) (dropped bool) {
 	for id, t := range v.targets {
-		if t.Missing && now >= t.MissingSince+forgetAfter {
+		if t.Missing && now >= t.MissingSince+v.limits.ForgetAfter {
 			delete(v.targets, id)
 			if v.tokens[t.Token] == t {
 				delete(v.tokens, t.Token)
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -10,6 +10,9 @@
 	"guavaloom.example/guavaloom/internal/target"
 )
 
+// limits are those of the users' first deployments.
+var limits = Limits{ReturnGrace: 3 * time.Second, ForgetAfter: 90 * time.Second}
+
 func entry(id target.ID) TargetEntry {
 	return TargetEntry{ID: id, Key: 1, Service: "booking", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Zone: "a", Slots: 3}
 }
@@ -17,7 +20,7 @@
 // Guards against a configuration that falls back to an older version after a stale
 // answer of the store or of another instance.
 func TestConfigNeverFalls(t *testing.T) {
-	v := New()
+	v := New(limits)
 	e := Endpoint{Addr: [4]byte{198, 18, 0, 1}, Port: 443}
 	must.True(t, v.SetConfig(Config{Version: 7, Routes: []Route{{Name: "new", Endpoint: e}}}))
 	must.False(t, v.SetConfig(Config{Version: 6, Routes: []Route{{Name: "old", Endpoint: e}}}))
@@ -29,7 +32,7 @@
 
 // Guards against a view that takes traffic while it knows only a part.
 func TestComplete(t *testing.T) {
-	v := New()
+	v := New(limits)
 	must.False(t, v.Complete())
 	v.SetConfig(Config{Version: 1})
 	must.False(t, v.Complete())
@@ -39,7 +42,7 @@
 
 // Guards against an older entry that hides a newer one, in any order of arrival.
 func TestTargetVersions(t *testing.T) {
-	v := New()
+	v := New(limits)
 	drained := entry("i-1")
 	drained.Draining = true
 	_, c := v.Put(0, entry("i-1"), 5)
@@ -55,7 +58,7 @@
 	must.Eq(t, Removed, c)
 	_, c = v.Put(0, entry("i-1"), 8)
 	must.Eq(t, Unchanged, c)
-	must.True(t, v.Ended(returnGrace, tg))
+	must.True(t, v.Ended(limits.ReturnGrace, tg))
 }
 
 // Guards against resetting the flows of a target whose entry lapsed only because
@@ -63,15 +66,15 @@
 // keeping a target that has gone for good.
 func TestRemovedEntryMayReturn(t *testing.T) {
 	const removedAt = 10 * time.Second
-	v := New()
+	v := New(limits)
 	tg, _ := v.Put(0, entry("i-1"), 5)
 	_, c := v.Remove(removedAt, "i-1", 9)
 	must.Eq(t, Removed, c)
 	v.TargetsFreshAt = removedAt
-	must.False(t, v.Ended(removedAt+returnGrace-1, tg))
-	must.True(t, v.TakesFlows(removedAt+returnGrace-1, tg))
-	must.True(t, v.Ended(removedAt+returnGrace, tg))
-	must.False(t, v.TakesFlows(removedAt+returnGrace, tg))
+	must.False(t, v.Ended(removedAt+limits.ReturnGrace-1, tg))
+	must.True(t, v.TakesFlows(removedAt+limits.ReturnGrace-1, tg))
+	must.True(t, v.Ended(removedAt+limits.ReturnGrace, tg))
+	must.False(t, v.TakesFlows(removedAt+limits.ReturnGrace, tg))
 	_, c = v.Put(14*time.Second, entry("i-1"), 11)
 	must.Eq(t, Returned, c)
 	must.False(t, v.Ended(14*time.Second, tg))
@@ -80,21 +83,21 @@
 // Guards against taking a target for ended while the store is away: its entry may
 // come back for some time after the store's return.
 func TestNothingEndsDuringAnOutage(t *testing.T) {
-	v := New()
+	v := New(limits)
 	tg, _ := v.Put(0, entry("i-1"), 5)
 	v.Remove(10*time.Second, "i-1", 9)
 	v.TargetsFreshAt = 10 * time.Second
 	v.OutageAt = 20 * time.Second
-	must.False(t, v.Ended(20*time.Second+returnGrace, tg)) // not confirmed since
+	must.False(t, v.Ended(20*time.Second+limits.ReturnGrace, tg)) // not confirmed since
 	v.TargetsFreshAt = 21 * time.Second
-	must.False(t, v.Ended(20*time.Second+returnGrace-1, tg))
-	must.True(t, v.Ended(20*time.Second+returnGrace, tg))
+	must.False(t, v.Ended(20*time.Second+limits.ReturnGrace-1, tg))
+	must.True(t, v.Ended(20*time.Second+limits.ReturnGrace, tg))
 }
 
 // Guards against an unreadable entry that takes new flows, or that loses the flows
 // the target has.
 func TestUnreadableEntry(t *testing.T) {
-	v := New()
+	v := New(limits)
 	tg, _ := v.Put(0, entry("i-1"), 5)
 	must.Eq(t, Unreadable, v.PutUnreadable("i-1", 6))
 	must.False(t, v.TakesFlows(0, tg))
@@ -107,7 +110,7 @@
 
 // Guards against a restart under the same name that goes unnoticed.
 func TestRestart(t *testing.T) {
-	v := New()
+	v := New(limits)
 	e := entry("i-1")
 	e.Incarnation = 100
 	v.Put(0, e, 5)
@@ -120,19 +123,19 @@
 // Guards against forgetting a target while flows of its time may be open, and
 // against keeping targets without end.
 func TestForget(t *testing.T) {
-	v := New()
+	v := New(limits)
 	v.Put(0, entry("i-1"), 5)
 	v.Remove(0, "i-1", 6)
 	must.False(t, v.Forget(60*time.Second))
 	must.NotNil(t, v.ByToken(TokenOf("i-1")))
-	must.True(t, v.Forget(forgetAfter))
+	must.True(t, v.Forget(limits.ForgetAfter))
 	must.Nil(t, v.ByToken(TokenOf("i-1")))
 	must.SliceEmpty(t, v.Service("booking"))
 }
 
 // Guards against a target that is listed under a service which it left.
 func TestServiceChanges(t *testing.T) {
-	v := New()
+	v := New(limits)
 	v.Put(0, entry("i-1"), 5)
 	v.Put(0, entry("i-2"), 6)
 	e := entry("i-1")
@@ -146,7 +149,7 @@
 // an instance learns of them, the same one holds it.
 func TestSharedToken(t *testing.T) {
 	for _, order := range [][2]target.ID{{"i-1", "i-2"}, {"i-2", "i-1"}} {
-		v := New()
+		v := New(limits)
 		for n, id := range order {
 			e := entry(id)
 			v.Put(0, e, uint64(n+1))
