Bound connections on every listener, and skip input that the program fails on

Cause: 3,000 half-sent requests to the port for other instances were all held (17 to 50 MB); nothing bounded connections or their idle time on the listeners of readiness, other instances, admin and control. A panic on one packet or entry ended the process, which would meet the same input after each start.

Change: internal/listen bounds connections in all and per address, with a counter and a log line; the servers have idle times and header limits; a failure on one input is logged with its stack and counted, broken invariants still end the process; a stop waits 250 ms at most for the last lines of the log. Reader's choice of instances to compare with: the first two of each other data centre, five data centres at a time, in place of all in turn, which held a connection with each. The ranks of a data centre are kept sorted in place of sorted for each message.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 
+	"guavaloom.example/guavaloom/internal/listen"
 	"guavaloom.example/guavaloom/internal/metric"
 )
 
@@ -22,6 +23,9 @@
 	maxHeader = 16 << 10
 )
 
+// connections bounds the callers: operators' tools and collectors of metrics.
+var connections = listen.Limits{All: 128, PerAddress: 64}
+
 // Query answers a JSON endpoint. The result is encoded as JSON; an error of
 // type *BadRequest gives status 400, any other 500.
 type Query func(ctx context.Context, q url.Values) (any, error)
@@ -46,7 +50,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "admin listener")
 	}
-	s := &Server{mux: http.NewServeMux(), listen: l}
+	rejected := set.Counter(metric.ConnectionsRejected, "admin")
+	bounded := listen.Bound(l, connections, func(netip.Addr) { rejected.Inc(1) })
+	s := &Server{mux: http.NewServeMux(), listen: bounded}
 	s.http = &http.Server{Handler: s.mux, ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout,
 		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
 	s.mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/edge/adopt.go
+++ b/internal/edge/adopt.go
@@ -71,6 +71,7 @@
 }
 
 func (i *Instance) adoptObject(now time.Duration, kind, source string, o objectstore.Object) {
+	defer i.recovered("entry")
 	_, name, _ := strings.Cut(o.Key, "/")
 	switch kind {
 	case i.platform.ConfigKind:
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/netip"
 	"regexp"
 	"strings"
 	"syscall"
@@ -331,3 +333,31 @@
 	_, err = edge.LoadSettings(t.TempDir() + "/none.ini")
 	must.Error(t, err)
 }
+
+// Load pattern: one client opens thousands of connections and sends half a request on
+// each. Guards against an instance that holds them all until its descriptors or its memory
+// are used up, and against other clients that are kept out meanwhile.
+func TestHalfSentRequestsAreBounded(t *testing.T) {
+	const connections = 500
+	s := newSite(t)
+	s.target("i-a1", 0xa1)
+	one := s.start(1, s.store.Addr())
+	one.awaitReady()
+	for listener, addr := range map[string]netip.AddrPort{"ready": one.settings.Ready, "peer": one.settings.Peer, "admin": one.settings.Admin} {
+		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 200)}}
+		for range connections {
+			c, err := d.Dial("tcp", addr.String())
+			must.NoError(t, err)
+			t.Cleanup(func() { _ = c.Close() })
+			_, _ = c.Write([]byte("GET /v1/fol")) // it may be closed already
+		}
+		eventually(t, "rejections at "+listener, func() bool {
+			count := regexp.MustCompile(`guavaloom_connections_rejected_total\{listener="` + listener + `"\} (\d+)`).FindStringSubmatch(one.metrics())
+			return len(count) == 2 && count[1] == fmt.Sprint(connections-64)
+		})
+	}
+	must.True(t, one.ready())
+	two := s.start(2, s.store.Addr(), one.settings.Peer)
+	two.awaitReady()
+	eventually(t, "a line of it", func() bool { return strings.Contains(one.log.String(), "connection rejected") })
+}
--- /dev/null
+++ b/internal/edge/guard_test.go
@@ -0,0 +1,118 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"guavaloom.example/guavaloom/internal/forwarding"
+	"guavaloom.example/guavaloom/internal/invariant"
+	"guavaloom.example/guavaloom/internal/logfield"
+	"guavaloom.example/guavaloom/internal/objectstore"
+	"guavaloom.example/guavaloom/internal/view"
+)
+
+// failingPlatform fails on what it is given: bytes that begin with "bad".
+type failingPlatform struct {
+	forwarding.Codec
+	Entries
+}
+
+func (failingPlatform) Decode(b []byte) (s forwarding.Segment, ok bool) {
+	if bytes.HasPrefix(b, []byte("bad")) {
+		panic("packet")
+	}
+	return s, false
+}
+
+func (failingPlatform) InstanceValue(string, netip.AddrPort) ([]byte, error) { return []byte("{}"), nil }
+
+func (failingPlatform) Target(_ string, value []byte) (e view.TargetEntry, err error) {
+	if bytes.HasPrefix(value, []byte("bad")) {
+		panic("entry")
+	}
+	invariant.Check(!bytes.HasPrefix(value, []byte("impossible")), "test", "")
+	return view.TargetEntry{ID: "i-1", Service: "booking", Slots: 1}, nil
+}
+
+func newTestInstance(t *testing.T, out *bytes.Buffer) *Instance {
+	t.Helper()
+	logger, err := logfield.New(out, "info", logfield.JSON)
+	must.NoError(t, err)
+	s := &Settings{Name: "i", Zone: "a", Deployment: DefaultDeployment()}
+	p := Platform{ConfigKind: "config", TargetKind: "targets", InstanceKind: "instances", Codec: failingPlatform{}, Entries: failingPlatform{}}
+	return New(s, p, logger)
+}
+
+// Guards against one packet or one entry that the program fails on taking the process
+// down, or taking the inputs beside it along; a broken invariant still does.
+func TestFailureOnOneInput(t *testing.T) {
+	var out bytes.Buffer
+	i := newTestInstance(t, &out)
+	send := func(netip.AddrPort, []byte, []byte) {}
+	i.handlePacket(0, []byte("bad packet"), send, nil)
+	i.handlePacket(0, []byte("other"), send, nil)
+	i.adopt(0, "targets", storeSource, objectstore.Listing{Version: 9, Objects: []objectstore.Object{
+		{Key: "targets/i-0", Version: 1, Value: []byte("bad entry")}, {Key: "targets/i-1", Version: 2, Value: []byte("good")},
+	}}, true)
+	must.NotNil(t, i.forward.View.Target("i-1"))
+	i.log.Flush()
+	for _, part := range []string{`"part":"packet"`, `"part":"entry"`, `"stack":`} {
+		must.StrContains(t, out.String(), part)
+	}
+	defer func() { must.NotNil(t, recover()) }()
+	i.adopt(0, "targets", storeSource, objectstore.Listing{Version: 10, Objects: []objectstore.Object{{Key: "targets/i-2", Version: 10, Value: []byte("impossible")}}}, false)
+}
+
+// blockedWriter takes nothing, as a pipe that nobody reads.
+type blockedWriter struct{ blocked chan struct{} }
+
+func (w blockedWriter) Write(b []byte) (int, error) {
+	<-w.blocked
+	return len(b), nil
+}
+
+// Load pattern: a planned stop while nobody reads the log. Guards against a process that
+// waits for its last lines until it is killed.
+func TestStopDoesNotWaitForTheLog(t *testing.T) {
+	out := blockedWriter{make(chan struct{})}
+	t.Cleanup(func() { close(out.blocked) })
+	logger, err := logfield.New(out, "info", logfield.JSON)
+	must.NoError(t, err)
+	local := netip.MustParseAddrPort("127.0.0.1:0")
+	s := &Settings{
+		Name: "i", Zone: "a", Packet: local, Ready: local, Peer: local, Admin: local, MemoryMB: 128, Workers: 1, Deployment: DefaultDeployment(),
+	}
+	file := filepath.Join(t.TempDir(), "instance.ini")
+	must.NoError(t, os.WriteFile(file, nil, 0o600))
+	ctx, stop := context.WithCancel(t.Context())
+	p := Platform{
+		ConfigKind: "config", TargetKind: "targets", InstanceKind: "instances", Codec: failingPlatform{}, Entries: failingPlatform{},
+		Store: refusingStore{}, ReadyHandler: nothingToServe,
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- New(s, p, logger).Run(ctx, file, nil) }()
+	stop()
+	select {
+	case err := <-ended:
+		must.NoError(t, err)
+	case <-time.After(time.Minute):
+		t.Fatal("the instance does not end")
+	}
+}
+
+// refusingStore answers nothing.
+type refusingStore struct{ objectstore.Store }
+
+func (refusingStore) List(context.Context, string) (objectstore.Listing, error) {
+	return objectstore.Listing{}, objectstore.ErrUnavailable
+}
+
+func nothingToServe(func() bool) http.Handler { return http.NotFoundHandler() }
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	stdlog "log"
 	"math/rand"
 	"net"
 	"net/http"
@@ -20,6 +21,7 @@
 	"guavaloom.example/guavaloom/internal/eventlog"
 	"guavaloom.example/guavaloom/internal/explain"
 	"guavaloom.example/guavaloom/internal/forwarding"
+	"guavaloom.example/guavaloom/internal/listen"
 	"guavaloom.example/guavaloom/internal/logfield"
 	"guavaloom.example/guavaloom/internal/metric"
 	"guavaloom.example/guavaloom/internal/objectstore"
@@ -33,8 +35,22 @@
 	tickEvery = 500 * time.Millisecond
 	// memoryShare is the part of the process's limit that the Go runtime may use.
 	memoryShare = 0.7
-	// headerTimeout bounds the time for the header of a request to the instance.
-	headerTimeout = 5 * time.Second
+	// logLimit is how long the last lines of the log may take when the process ends.
+	logLimit = 250 * time.Millisecond
+	// headerTimeout bounds the time for the header of a request to the instance, idleTimeout
+	// that between two requests on a connection, maxRequestHeader its size in bytes.
+	headerTimeout    = 5 * time.Second
+	idleTimeout      = 10 * time.Second
+	maxRequestHeader = 16 << 10
+	// maxServerMessage is how much of a message of an HTTP server is logged, in bytes.
+	maxServerMessage = 1024
+)
+
+// Bounds of connections: the routers check the readiness; other instances follow this
+// one or ask for its replica, all of a fleet at its start.
+var (
+	readyConnections = listen.Limits{All: 256, PerAddress: 64}
+	peerConnections  = listen.Limits{All: 1024, PerAddress: 64}
 )
 
 // Entries decodes the objects of the store.
@@ -119,7 +135,13 @@
 	logged := make(chan struct{})
 	logging, endLog := context.WithCancel(context.Background())
 	go func() { i.log.Run(logging); close(logged) }()
-	defer func() { endLog(); <-logged }()
+	defer func() {
+		endLog()
+		select {
+		case <-logged:
+		case <-time.After(logLimit): // nobody reads the output
+		}
+	}()
 	i.log.Event(lifeClass, "start", logrus.Fields{logfield.Zone: i.settings.Zone, logfield.Address: i.settings.Packet.String()})
 	i.mu.Lock()
 	i.noteReadiness()
@@ -156,23 +178,45 @@
 	go i.reportEnd("admin", adm.Serve)
 	context.AfterFunc(ctx, func() { _ = adm.Shutdown(context.Background()) }) // the process ends
 	ready := i.platform.ReadyHandler(func() bool { return len(i.readiness()) == 0 })
-	if err := i.serveHTTP(ctx, "ready", i.settings.Ready, ready); err != nil {
+	if err := i.serveHTTP(ctx, "ready", i.settings.Ready, readyConnections, ready); err != nil {
 		return err
 	}
-	return i.serveHTTP(ctx, "peer", i.settings.Peer, i.peerHandler())
+	return i.serveHTTP(ctx, "peer", i.settings.Peer, peerConnections, i.peerHandler())
 }
 
-func (i *Instance) serveHTTP(ctx context.Context, name string, addr netip.AddrPort, h http.Handler) error {
+func (i *Instance) serveHTTP(ctx context.Context, name string, addr netip.AddrPort, limits listen.Limits, h http.Handler) error {
 	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", addr.String())
 	if err != nil {
 		return errors.Wrapf(err, "%s listener", name)
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
-	go i.reportEnd(name, func() error { return s.Serve(l) })
+	rejected := i.metrics.Counter(metric.ConnectionsRejected, name)
+	bounded := listen.Bound(l, limits, func(from netip.Addr) {
+		rejected.Inc(1)
+		i.log.Event(lifeClass, "connection rejected", logrus.Fields{logfield.Part: name, logfield.Address: from.String()})
+	})
+	s := &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxRequestHeader,
+		ErrorLog: stdlog.New(serverLog{i.log, name}, "", 0),
+	}
+	go i.reportEnd(name, func() error { return s.Serve(bounded) })
 	context.AfterFunc(ctx, func() { _ = s.Close() }) // the process ends
 	return nil
 }
 
+// serverLog passes the messages of an HTTP server on, such as that of a handler that
+// panicked. Without it they would go to standard error, unbounded.
+type serverLog struct {
+	log  *eventlog.Log
+	part string
+}
+
+// Write implements io.Writer.
+func (l serverLog) Write(b []byte) (int, error) {
+	message := string(b[:min(len(b), maxServerMessage)])
+	l.log.Event(lifeClass, "server message", logrus.Fields{logfield.Part: l.part, logfield.Error: strings.TrimSpace(message)})
+	return len(b), nil
+}
+
 // reportEnd logs the unexpected end of a server.
 func (i *Instance) reportEnd(name string, serve func() error) {
 	if err := serve(); err != nil && !errors.Is(err, http.ErrServerClosed) {
--- a/internal/edge/packets.go
+++ b/internal/edge/packets.go
@@ -32,6 +32,7 @@
 
 // handlePacket decides on one packet. header is a buffer of MaxHeader bytes.
 func (i *Instance) handlePacket(now time.Duration, data []byte, send func(to netip.AddrPort, header, body []byte), header []byte) {
+	defer i.recovered("packet")
 	seg, ok := i.platform.Codec.Decode(data)
 	if !ok {
 		i.counters.count(forwarding.Decision{Reason: forwarding.Malformed})
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -57,7 +57,7 @@
 		case rest > 0:
 			sleep(ctx, max(rest, idlePause))
 		default:
-			i.askEach(ctx, i.registry.ofOtherZones(now))
+			i.askEach(ctx, i.registry.toCompare(now))
 			sleep(ctx, now+i.timing.AskPause-i.now())
 		}
 	}
--- a/internal/edge/reading.go
+++ b/internal/edge/reading.go
@@ -80,7 +80,7 @@
 		}
 		pause := plan.Done(&res)
 		lost = i.tookAnswer(kind, began, &res, lost)
-		if _, reader := i.registry.readers(i.now()); lost && !reader {
+		if lost && !i.registry.isReader(i.now()) {
 			pause = time.Duration((0.5 + rng.Float64()) * float64(strayPause))
 		}
 		sleep(ctx, pause)
@@ -151,7 +151,7 @@
 	if !ok {
 		return i.firstListDue(now, kind, staleAfter)
 	}
-	if _, self := i.registry.readers(now); self {
+	if i.registry.isReader(now) {
 		return true
 	}
 	return kind != i.platform.InstanceKind && age > staleAfter
--- a/internal/edge/registry.go
+++ b/internal/edge/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -22,36 +23,56 @@
 	// than a second: each of 100 lists some 1,000 targets in 20 calls, and the users'
 	// store answers 2,000 calls a second.
 	manyInstances = 100
+	// askedZones is how many other data centres a reader asks at a time. One that knows
+	// of a change is among them in turn, and the cost does not grow with the deployment.
+	askedZones = 5
+	// askedRanks is how many instances of a data centre are asked in turn: those that read
+	// the store or would be next. Others hear from them and would cost connections.
+	askedRanks = 2
 	// peerRetry is how long an instance that failed to answer is passed over.
 	peerRetry = 1500 * time.Millisecond
 )
 
-// peer is another instance.
+// peer is an instance, this one included.
 type peer struct {
-	name, zone string // empty for a seed that is not known by name yet
+	name, zone string
 	addr       netip.AddrPort
-	failedAt   time.Duration
-	failed     bool
+	score      uint64
+}
+
+// health is what is known of an address.
+type health struct {
+	failedAt time.Duration
+	failed   bool
 }
 
 // registry knows the other instances: those named by the settings and those that
 // registered in the store. It is safe for concurrent use.
 type registry struct {
-	self, zone string
-	selfAddr   netip.AddrPort
+	self *peer
 
 	mu    sync.Mutex // guards all below; taken alone
 	seeds []netip.AddrPort
 	named map[string]*peer
-	byURL map[netip.AddrPort]*peer
-	turn  int
+	// ranks has the instances of each data centre by rank. The first ones read the
+	// store; each of the others follows one that ranks before it. All instances rank
+	// alike, so that no two follow each other.
+	ranks   map[string][]*peer
+	healths map[netip.AddrPort]*health
+	turn    int
 }
 
 func newRegistry(s *Settings) *registry {
-	return &registry{
-		self: s.Name, zone: s.Zone, selfAddr: s.Peer, seeds: s.Seeds,
-		named: map[string]*peer{}, byURL: map[netip.AddrPort]*peer{},
+	r := &registry{
+		self: newPeer(s.Name, s.Zone, s.Peer), seeds: s.Seeds,
+		named: map[string]*peer{}, ranks: map[string][]*peer{}, healths: map[netip.AddrPort]*health{},
 	}
+	r.insert(r.self)
+	return r
+}
+
+func newPeer(name, zone string, addr netip.AddrPort) *peer {
+	return &peer{name: name, zone: zone, addr: addr, score: rendezvous.Score(rendezvous.Seed(name), rendezvous.Seed(zone))}
 }
 
 func (r *registry) setSeeds(seeds []netip.AddrPort) {
@@ -62,24 +83,58 @@
 
 // put records a registered instance.
 func (r *registry) put(name, zone string, addr netip.AddrPort) {
+	if name == r.self.name {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.named[name] = &peer{name: name, zone: zone, addr: addr}
+	r.take(name)
+	r.insert(newPeer(name, zone, addr))
 }
 
 func (r *registry) remove(name string) {
+	if name == r.self.name {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.take(name)
+}
+
+func (r *registry) insert(p *peer) {
+	ranks := r.ranks[p.zone]
+	at, _ := slices.BinarySearchFunc(ranks, p, byRank)
+	r.ranks[p.zone] = slices.Insert(ranks, at, p)
+	r.named[p.name] = p
+}
+
+// take takes an instance out, if it is known.
+func (r *registry) take(name string) {
+	p := r.named[name]
+	if p == nil {
+		return
+	}
 	delete(r.named, name)
+	ranks := slices.DeleteFunc(r.ranks[p.zone], func(o *peer) bool { return o == p })
+	if len(ranks) == 0 {
+		delete(r.ranks, p.zone)
+		return
+	}
+	r.ranks[p.zone] = ranks
+}
+
+// byRank orders the instances of a data centre.
+func byRank(a, b *peer) int {
+	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
 }
 
 // fail records that an instance did not answer and reports whether it did before.
 func (r *registry) fail(now time.Duration, addr netip.AddrPort) (lost bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p := r.at(addr)
-	lost = !p.failed
-	p.failed, p.failedAt = true, now
+	h := r.health(addr)
+	lost = !h.failed
+	h.failed, h.failedAt = true, now
 	return lost
 }
 
@@ -87,78 +142,52 @@
 func (r *registry) answered(addr netip.AddrPort) (regained bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p := r.at(addr)
-	regained = p.failed
-	p.failed = false
+	h := r.health(addr)
+	regained = h.failed
+	h.failed = false
 	return regained
 }
 
-// at returns the health record of an address.
-func (r *registry) at(addr netip.AddrPort) *peer {
-	p := r.byURL[addr]
-	if p == nil {
-		p = &peer{addr: addr}
-		r.byURL[addr] = p
+func (r *registry) health(addr netip.AddrPort) *health {
+	h := r.healths[addr]
+	if h == nil {
+		h = &health{}
+		r.healths[addr] = h
 	}
-	return p
+	return h
 }
 
 func (r *registry) healthy(now time.Duration, addr netip.AddrPort) bool {
-	p := r.byURL[addr]
-	return p == nil || !p.failed || now >= p.failedAt+peerRetry
+	h := r.healths[addr]
+	return h == nil || !h.failed || now >= h.failedAt+peerRetry
 }
 
-// zoneSize returns how many instances of the own data centre are registered.
+// zoneSize returns how many instances of the own data centre are known.
 func (r *registry) zoneSize() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	n := 0
-	for _, p := range r.named {
-		if p.zone == r.zone {
-			n++
-		}
-	}
-	if r.named[r.self] == nil {
-		n++
-	}
-	return n
+	return len(r.ranks[r.self.zone])
 }
 
-// tree returns the names of the own data centre's instances, this one included, by
-// rank, leaving out those that did not answer. The first ones read the store; each
-// of the others follows one that ranks before it. All instances rank alike, so that
-// no two follow each other.
-func (r *registry) tree(now time.Duration) []string {
-	names := []string{r.self}
-	for name, p := range r.named {
-		if name != r.self && p.zone == r.zone && r.healthy(now, p.addr) {
-			names = append(names, name)
+// before returns the instances of the own data centre that rank before this one, by
+// rank, leaving out those that did not answer.
+func (r *registry) before(now time.Duration) []*peer {
+	var out []*peer
+	for _, p := range r.ranks[r.self.zone] {
+		if p == r.self {
+			break
 		}
-	}
-	key := rendezvous.Seed(r.zone)
-	slices.SortFunc(names, func(a, b string) int {
-		if c := cmp.Compare(rendezvous.Score(rendezvous.Seed(b), key), rendezvous.Score(rendezvous.Seed(a), key)); c != 0 {
-			return c
+		if r.healthy(now, p.addr) {
+			out = append(out, p)
 		}
-		return cmp.Compare(a, b)
-	})
-	return names
+	}
+	return out
 }
 
-// readers returns the other instances of the own data centre that should read the
-// store, best first. self tells whether this instance is one of them.
-func (r *registry) readers(now time.Duration) (others []netip.AddrPort, self bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	names := r.tree(now)
-	for _, name := range names[:min(r.readersPerZone(), len(names))] {
-		if name == r.self {
-			self = true
-			continue
-		}
-		others = append(others, r.named[name].addr)
-	}
-	return others, self
+// isReader reports whether this instance should read the store.
+func (r *registry) isReader(now time.Duration) bool {
+	_, follower := r.parent(now)
+	return !follower
 }
 
 // parent returns the instance that this one follows in the tree; ok is false for
@@ -166,12 +195,11 @@
 func (r *registry) parent(now time.Duration) (addr netip.AddrPort, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	names := r.tree(now)
-	at, roots := slices.Index(names, r.self), r.readersPerZone()
-	if at < roots {
+	before, roots := r.before(now), r.readersPerZone()
+	if len(before) < roots {
 		return addr, false
 	}
-	return r.named[names[(at-roots)/fanOut]].addr, true
+	return before[(len(before)-roots)/fanOut].addr, true
 }
 
 // isParent reports whether an instance that is followed is the one to follow.
@@ -182,11 +210,7 @@
 
 // readersPerZone returns how many instances of a data centre read the store.
 func (r *registry) readersPerZone() int {
-	zones := map[string]bool{}
-	for _, p := range r.named {
-		zones[p.zone] = true
-	}
-	if len(zones) >= manyZones {
+	if len(r.ranks) >= manyZones {
 		return 1
 	}
 	return 2
@@ -203,8 +227,8 @@
 func (r *registry) knowsOthers() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	others := slices.ContainsFunc(r.seeds, func(a netip.AddrPort) bool { return a != r.selfAddr })
-	return others || len(r.named) > 0
+	others := slices.ContainsFunc(r.seeds, func(a netip.AddrPort) bool { return a != r.self.addr })
+	return others || len(r.named) > 1
 }
 
 // other returns an instance to ask, in turn one of all that are known; ok is false if
@@ -219,31 +243,80 @@
 	return r.inTurn(now, all)
 }
 
-// ofOtherZones returns one instance of each other data centre, in turn, and the other
-// readers of the own one. Where none of them answers, it is one of the own data centre
-// or of those that the settings name.
-func (r *registry) ofOtherZones(now time.Duration) []netip.AddrPort {
-	found, _ := r.readers(now)
+// toCompare returns the instances whose replicas a reader compares with its own: one
+// of each other data centre, some data centres at a time, and the other readers of the
+// own one. Where none of them answers, it is one of the own data centre or of those that
+// the settings name.
+func (r *registry) toCompare(now time.Duration) []netip.AddrPort {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	zones := map[string][]netip.AddrPort{}
-	for _, p := range r.named {
-		zones[p.zone] = append(zones[p.zone], p.addr)
-	}
-	for zone, addrs := range zones {
-		if addr, ok := r.inTurn(now, addrs); ok && zone != r.zone {
-			found = append(found, addr)
+	r.turn++
+	found := r.otherReaders(now)
+	for _, zone := range r.someZones() {
+		if first := r.firstRanks(now, zone); len(first) > 0 {
+			found = append(found, first[r.turn%len(first)])
 		}
 	}
-	if addr, ok := r.inTurn(now, append(zones[r.zone], r.seeds...)); ok && len(found) == 0 {
+	if len(found) > 0 {
+		return found
+	}
+	own := slices.Clone(r.seeds)
+	for _, p := range r.ranks[r.self.zone] {
+		own = append(own, p.addr)
+	}
+	if addr, ok := r.inTurn(now, own); ok {
 		found = append(found, addr)
 	}
 	return found
 }
 
+// otherReaders returns the other instances of the own data centre that read the store.
+func (r *registry) otherReaders(now time.Duration) []netip.AddrPort {
+	var found []netip.AddrPort
+	roots := r.readersPerZone()
+	for _, p := range r.ranks[r.self.zone] {
+		if roots == 0 {
+			break
+		}
+		if p != r.self && !r.healthy(now, p.addr) {
+			continue
+		}
+		roots--
+		if p != r.self {
+			found = append(found, p.addr)
+		}
+	}
+	return found
+}
+
+// someZones returns the other data centres that are asked in this turn.
+func (r *registry) someZones() []string {
+	zones := slices.Sorted(maps.Keys(r.ranks))
+	zones = slices.DeleteFunc(zones, func(z string) bool { return z == r.self.zone })
+	if len(zones) <= askedZones {
+		return zones
+	}
+	begin := r.turn * askedZones % len(zones)
+	return slices.Concat(zones[begin:], zones[:begin])[:askedZones]
+}
+
+// firstRanks returns the first instances of a data centre that are known to answer.
+func (r *registry) firstRanks(now time.Duration, zone string) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, p := range r.ranks[zone] {
+		if len(out) == askedRanks {
+			break
+		}
+		if r.healthy(now, p.addr) {
+			out = append(out, p.addr)
+		}
+	}
+	return out
+}
+
 // inTurn returns one after the other of the addresses that are known to answer.
 func (r *registry) inTurn(now time.Duration, all []netip.AddrPort) (addr netip.AddrPort, ok bool) {
-	all = slices.DeleteFunc(all, func(a netip.AddrPort) bool { return a == r.selfAddr || !r.healthy(now, a) })
+	all = slices.DeleteFunc(all, func(a netip.AddrPort) bool { return a == r.self.addr || !r.healthy(now, a) })
 	if len(all) == 0 {
 		return addr, false
 	}
--- a/internal/edge/registry_test.go
+++ b/internal/edge/registry_test.go
@@ -41,11 +41,11 @@
 	all := dataCentre(137, 15)
 	byAddr := map[netip.AddrPort]*registry{}
 	for _, r := range all {
-		byAddr[r.selfAddr] = r
+		byAddr[r.self.addr] = r
 	}
 	followers, readers := map[*registry]int{}, 0
 	for _, r := range all {
-		if _, self := r.readers(0); self {
+		if r.isReader(0) {
 			readers++
 		}
 		steps := 0
@@ -98,12 +98,12 @@
 // (hunted day 12d1-27 of bmbc-knot).
 func TestReaderAsksEachDataCentre(t *testing.T) {
 	for _, r := range dataCentre(20, 3) {
-		if _, reader := r.readers(0); !reader {
+		if !r.isReader(0) {
 			continue
 		}
 		zones := func(now time.Duration) map[string]bool {
 			asked := map[netip.AddrPort]bool{}
-			for _, addr := range r.ofOtherZones(now) {
+			for _, addr := range r.toCompare(now) {
 				asked[addr] = true
 			}
 			found := map[string]bool{}
@@ -116,11 +116,11 @@
 		}
 		must.Eq(t, map[string]bool{"o-0": true, "o-1": true, "o-2": true}, zones(0))
 		for _, p := range r.named {
-			if p.zone != r.zone {
+			if p.zone != r.self.zone {
 				r.fail(time.Second, p.addr)
 			}
 		}
-		must.Eq(t, map[string]bool{r.zone: true}, zones(time.Second))
+		must.Eq(t, map[string]bool{r.self.zone: true}, zones(time.Second))
 	}
 }
 
--- a/internal/edge/status.go
+++ b/internal/edge/status.go
@@ -15,7 +15,7 @@
 func (i *Instance) status(context.Context, url.Values) (any, error) {
 	now := i.now()
 	s := explain.EdgeStatus{Instance: i.settings.Name, Zone: i.settings.Zone, NotReady: i.readiness()}
-	_, s.ReadsStore = i.registry.readers(now)
+	s.ReadsStore = i.registry.isReader(now)
 	for _, kind := range i.replica.Kinds() {
 		age, listed := i.replica.Age(now, kind)
 		k := explain.KindStatus{Kind: kind, Listed: listed, Version: uint64(i.replica.Version(kind))}
--- /dev/null
+++ b/internal/listen/bounded.go
@@ -0,0 +1,95 @@
+package listen
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+)
+
+// Limits bound the open connections of a listener.
+type Limits struct {
+	// All is the number of open connections, PerAddress the number from one IP address,
+	// so that one client can't keep out the others.
+	All, PerAddress int
+}
+
+// Bounded is a listener that closes connections beyond its limits at once, in place
+// of leaving them in the queue, where their clients would wait without an answer.
+type Bounded struct {
+	net.Listener
+	limits   Limits
+	rejected func(from netip.Addr)
+
+	mu      sync.Mutex // guards all below; taken alone
+	open    int
+	sources map[netip.Addr]int
+}
+
+// Bound wraps a TCP listener. rejected is called for each connection that is closed for
+// the limits; it must not block.
+func Bound(l net.Listener, limits Limits, rejected func(from netip.Addr)) *Bounded {
+	return &Bounded{Listener: l, limits: limits, rejected: rejected, sources: map[netip.Addr]int{}}
+}
+
+// Accept implements net.Listener.
+func (b *Bounded) Accept() (net.Conn, error) {
+	for {
+		c, err := b.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		from := source(c)
+		if b.enter(from) {
+			return &conn{Conn: c, leave: sync.OnceFunc(func() { b.leave(from) })}, nil
+		}
+		_ = c.Close() // nothing was read or written
+		b.rejected(from)
+	}
+}
+
+func source(c net.Conn) netip.Addr {
+	a, ok := c.RemoteAddr().(*net.TCPAddr)
+	if !ok {
+		return netip.Addr{}
+	}
+	return a.AddrPort().Addr().Unmap()
+}
+
+func (b *Bounded) enter(from netip.Addr) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.open >= b.limits.All || b.sources[from] >= b.limits.PerAddress {
+		return false
+	}
+	b.open++
+	b.sources[from]++
+	return true
+}
+
+func (b *Bounded) leave(from netip.Addr) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.open--
+	if b.sources[from]--; b.sources[from] == 0 {
+		delete(b.sources, from)
+	}
+}
+
+// Open returns the number of open connections.
+func (b *Bounded) Open() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.open
+}
+
+// conn is a connection that counts against the limits until it is closed.
+type conn struct {
+	net.Conn
+	leave func()
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.leave()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/listen/bounded_test.go
@@ -0,0 +1,74 @@
+package listen
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func listenBounded(t *testing.T, l Limits) (*Bounded, *atomic.Int64) {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	var rejected atomic.Int64
+	b := Bound(inner, l, func(netip.Addr) { rejected.Add(1) })
+	t.Cleanup(func() { _ = b.Close() })
+	return b, &rejected
+}
+
+// dial connects from a loopback address and reports whether the connection was kept.
+func dial(t *testing.T, b *Bounded, from string) (c net.Conn, kept bool) {
+	t.Helper()
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
+	c, err := d.Dial("tcp", b.Addr().String())
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	one := make([]byte, 1)
+	must.NoError(t, c.SetReadDeadline(time.Now().Add(time.Minute)))
+	_, err = io.ReadFull(c, one)
+	return c, err == nil
+}
+
+// Guards against one client that takes all connections, and against a limit that
+// stays used up when connections end.
+func TestConnectionsAreBounded(t *testing.T) {
+	b, rejected := listenBounded(t, Limits{All: 5, PerAddress: 3})
+	accepted := make(chan net.Conn, 100)
+	go func() {
+		for {
+			c, err := b.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Write([]byte{1}) // the test sees it
+			accepted <- c
+		}
+	}()
+	for range 3 {
+		_, kept := dial(t, b, "127.0.0.1")
+		must.True(t, kept)
+	}
+	_, kept := dial(t, b, "127.0.0.1")
+	must.False(t, kept)
+	for range 2 {
+		_, kept := dial(t, b, "127.0.0.2")
+		must.True(t, kept)
+	}
+	_, kept = dial(t, b, "127.0.0.3")
+	must.False(t, kept)
+	must.Eq(t, 5, b.Open())
+	must.Eq(t, 2, rejected.Load())
+	for range 5 {
+		c := <-accepted
+		must.NoError(t, c.Close())
+		_ = c.Close() // counts once
+	}
+	must.Eq(t, 0, b.Open())
+	_, kept = dial(t, b, "127.0.0.3")
+	must.True(t, kept)
+}
--- /dev/null
+++ b/internal/listen/doc.go
@@ -0,0 +1,2 @@
+// Package listen bounds the connections that a listener's clients can hold open.
+package listen
--- a/internal/logfield/logfield.go
+++ b/internal/logfield/logfield.go
@@ -28,6 +28,7 @@
 	Latency    = "latency_ms"
 	Open       = "open"
 	Part       = "part"
+	Stack      = "stack"
 	Peer       = "peer"
 	Reason     = "reason"
 	Request    = "request"
--- a/internal/metric/names.go
+++ b/internal/metric/names.go
@@ -7,6 +7,9 @@
 	PacketsDropped  = Declaration{"guavaloom_packets_dropped_total", "datagrams", "Datagrams that were not forwarded, by reason.", Counter, "reason"}
 )
 
+// ConnectionsRejected counts for all TCP listeners.
+var ConnectionsRejected = Declaration{"guavaloom_connections_rejected_total", "connections", "Connections closed at once because the listener or the client's address had too many, by listener.", Counter, "listener"}
+
 // Metrics of the transport between instances.
 var (
 	PeerBytesSent     = Declaration{"guavaloom_peer_sent_bytes_total", "bytes", "Bytes written to connections with other instances, by lane (control or data).", Counter, "lane"}
@@ -43,5 +46,6 @@
 	EdgeReady      = Declaration{"guavaloom_edge_ready", "boolean", "1 while the instance reports that it is ready.", Gauge, ""}
 	EdgeViewAge    = Declaration{"guavaloom_edge_view_age_ms", "milliseconds", "Time since the replica of a kind was known to be the store's state.", Gauge, "kind"}
 	EdgeChanges    = Declaration{"guavaloom_edge_view_changes_total", "changes", "Changes of the view, by kind.", Counter, "change"}
+	EdgePanics     = Declaration{"guavaloom_edge_skipped_inputs_total", "inputs", "Packets and entries that were skipped because the program failed on them, by part.", Counter, "part"}
 	EdgeUnreadable = Declaration{"guavaloom_edge_unreadable_total", "entries", "Entries of the store that could not be read, by kind.", Counter, "kind"}
 )
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"guavaloom.example/guavaloom/internal/instance"
+	"guavaloom.example/guavaloom/internal/listen"
 	"guavaloom.example/guavaloom/internal/logfield"
 	"guavaloom.example/guavaloom/internal/metric"
 )
@@ -76,6 +77,10 @@
 	callers map[destKey]*link
 }
 
+// connections bounds the other instances: a data centre of the target size has 137, with
+// two connections each.
+var connections = listen.Limits{All: 1024, PerAddress: 64}
+
 // New checks the configuration and opens the listener.
 func New(cfg Config) (*Transport, error) {
 	if err := cfg.check(); err != nil {
@@ -85,6 +90,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "control listener")
 	}
+	rejected := cfg.Metrics.Counter(metric.ConnectionsRejected, "control")
+	l = listen.Bound(l, connections, func(netip.Addr) { rejected.Inc(1) })
 	start := time.Now()
 	t := &Transport{cfg: cfg, budget: newBudget(cfg.Budget, func() time.Duration { return time.Since(start) }),
 		dests: map[destKey]*destination{}, callers: map[destKey]*link{}}
--- /dev/null
+++ b/internal/replica/fuzz_test.go
@@ -0,0 +1,73 @@
+package replica
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"guavaloom.example/guavaloom/internal/objectstore"
+)
+
+// Guards against a message of another instance that takes the process down, uses up
+// its memory or takes a version back.
+func FuzzMessage(f *testing.F) {
+	packed, err := encode(Message{Frames: []Frame{{Kind: "k", Full: true, Listing: listing(9, object("k/a", 4))}}})
+	must.NoError(f, err)
+	f.Add(packed)
+	f.Add([]byte(`{"Frames":[{"Kind":"k","Version":7,"Age":-5,"Deltas":[{"Key":"k/a","Version":5,"Base":4,"Parts":[{"From":0,"Len":1},{"Text":"eA=="}]}]}]}`))
+	f.Add([]byte(`{"Frames":[{"Kind":"other"}],"Packed":"H4sIAAAAAAAA"}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		r := New("k")
+		r.List(time.Second, "k", listing(3, object("k/a", 2), object("k/b", 3)))
+		var line envelope
+		if json.Unmarshal(text, &line) != nil {
+			return
+		}
+		m, err := line.open()
+		if err != nil {
+			return
+		}
+		for n := range m.Frames {
+			frame := &m.Frames[n]
+			before := r.Version("k")
+			if r.Expand(frame) != nil {
+				continue
+			}
+			now := 2 * time.Second
+			if frame.Full {
+				r.List(now, frame.Kind, frame.Listing)
+			} else {
+				r.Events(now, frame.Kind, frame.Listing)
+			}
+			must.GreaterEq(t, before, r.Version("k"))
+			age, _ := r.Age(now, "k")
+			must.GreaterEq(t, 0, age, must.Sprint("a state of the future"))
+			_, _ = r.Changes(now, "k", 1)
+		}
+	})
+}
+
+// Guards against a call of another instance that takes the process down, or that is
+// answered though it can't be read.
+func FuzzFollowCall(f *testing.F) {
+	f.Add("after=k:0&once=true")
+	f.Add("after=k:18446744073709551615&after=x:1&once")
+	f.Add("once=true&after=")
+	f.Fuzz(func(t *testing.T, query string) {
+		r := New("k")
+		r.List(0, "k", listing(3, object("k/a", 2)))
+		stopped := make(chan struct{})
+		close(stopped)
+		w := httptest.NewRecorder()
+		req := &http.Request{Method: http.MethodGet, URL: &url.URL{Path: followPath, RawQuery: query}}
+		r.Handler(stream, still, stopped).ServeHTTP(w, req.WithContext(t.Context()))
+		must.NotEq(t, http.StatusOK, w.Code)
+		_, _ = parseCursors(req.URL.Query()["after"])
+		_, _, _ = r.frame(0, "k", objectstore.Version(len(query)))
+	})
+}
