replica: encode a list once for all followers, find changes in a log

Cause (benchmarks of the stream's server): 16 followers that start at once cost 172 ms for 3,000 targets and 980 ms for 13,000, several seconds on the users' machines of 0.192 cores, since the list was encoded and compressed for each; one changed target cost 0.8 and 3.2 ms, since all objects were looked at for each follower.

A list is encoded once and used for two seconds, followed by the changes since; changes are found in a log ordered by version. A starting instance asks the store first and others 50 ms later, so that the three seeds do not tell everything to all instances of a fleet. Targets and configuration are followed at the store only once the instance knows the others, since alone it would take itself for a reader.

The stream's path is /v2/follow. TestFollow expected one frame where a follower too far behind now gets a list and the changes since; it checks that they add up to the source's state.

--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -93,6 +93,8 @@
 	registry *registry
 	// peers is used for calls to other instances.
 	peers *http.Client
+	// instancesListed is closed when the first list of the instances has been taken or failed.
+	instancesListed chan struct{}
 	// stopped is closed when the instance begins to stop.
 	stopped chan struct{}
 
@@ -117,6 +119,8 @@
 		registry: newRegistry(s),
 		peers:    &http.Client{Transport: p.Transport},
 		stopped:  make(chan struct{}),
+
+		instancesListed: make(chan struct{}),
 	}
 	i.counters = newCounters(i.metrics)
 	i.forward = forwarding.New(s.Zone, i.timing.Forwarding, view.New(i.timing.View), observer{i})
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -54,6 +54,7 @@
 // that an instance of only one data centre may know of a change. One that has a parent
 // hears that way of what the reader of its data centre learns.
 func (i *Instance) askOthers(ctx context.Context) {
+	sleep(ctx, i.firstListDelay()+firstFromStore)
 	for ctx.Err() == nil {
 		now := i.now()
 		rest := i.freshFor(now)
--- a/internal/edge/reading.go
+++ b/internal/edge/reading.go
@@ -16,11 +16,9 @@
 )
 
 const (
-	// firstFromPeers is how long a starting instance waits for other instances to
-	// pass on their replica before it reads the store.
-	// It exceeds a round trip between data centres, and is short because no packet
-	// is forwarded meanwhile.
-	firstFromPeers = 25 * time.Millisecond
+	// firstFromStore is how long a starting instance waits for the store before it asks
+	// other instances too: some calls of 4 ms. No packet is forwarded meanwhile.
+	firstFromStore = 50 * time.Millisecond
 	// firstStartSpread is the time over which instances that all start together,
 	// before there is traffic, turn to the store; later ones hear from earlier ones.
 	firstStartSpread = time.Second
@@ -60,8 +58,13 @@
 	i.listFirst(ctx, kind)
 	wait := i.timing.StoreWait
 	if kind == i.platform.InstanceKind {
+		close(i.instancesListed)
 		wait = i.timing.InstanceWait
 	}
+	select {
+	case <-i.instancesListed: // they tell whether this one is a reader
+	case <-ctx.Done():
+	}
 	rng := newRand()
 	staleAfter := i.timing.ReadStoreAfter + time.Duration(rng.Float64()*float64(strayPause/2))
 	plan := replica.NewPlan(wait, i.timing.Coalesce, rng)
@@ -86,17 +89,11 @@
 	}
 }
 
-// listFirst learns a kind at the start: from other instances if they tell it in time,
-// else by a list that may be old. All instances may start at once, and the list of each of
-// them must not use up the store's rate; what is missing in it comes from the store or
-// from the parent in the tree a moment later.
+// listFirst learns a kind at the start by a list that may be old. All instances may start
+// at once, and the list of each of them must not use up the store's rate; what is
+// missing in it comes from the store or from the parent in the tree a moment later.
 func (i *Instance) listFirst(ctx context.Context, kind string) {
-	for i.registry.knowsOthers() && i.now() < i.firstFromPeers() {
-		if ctx.Err() != nil || i.listed(kind) {
-			return
-		}
-		sleep(ctx, firstPause)
-	}
+	sleep(ctx, i.firstListDelay())
 	if i.platform.ListStale == nil || i.listed(kind) {
 		return
 	}
@@ -125,12 +122,12 @@
 	return listed
 }
 
-// firstFromPeers returns how long the first list is awaited from other instances.
-func (i *Instance) firstFromPeers() time.Duration {
+// firstListDelay returns the pause before the first list.
+func (i *Instance) firstListDelay() time.Duration {
 	if !i.settings.FirstStart {
-		return firstFromPeers
+		return 0
 	}
-	return firstFromPeers + time.Duration(rendezvous.Seed(i.settings.Name)%uint64(firstStartSpread))
+	return time.Duration(rendezvous.Seed(i.settings.Name) % uint64(firstStartSpread))
 }
 
 // needsStore reports whether this instance should read a kind from the store. Other
--- a/internal/edge/registry.go
+++ b/internal/edge/registry.go
@@ -212,14 +212,6 @@
 	return 2
 }
 
-// knowsOthers reports whether any other instance is known.
-func (r *registry) knowsOthers() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	others := slices.ContainsFunc(r.seeds, func(a netip.AddrPort) bool { return a != r.self.addr })
-	return others || len(r.named) > 1
-}
-
 // other returns an instance to ask, in turn one of all that are known; ok is false if
 // none is known to answer.
 func (r *registry) other(now time.Duration) (addr netip.AddrPort, ok bool) {
--- a/internal/edge/registry_test.go
+++ b/internal/edge/registry_test.go
@@ -142,7 +142,7 @@
 	for _, size := range []int{137, 20} {
 		lists, later, cheap := 0, 0, 0
 		for _, r := range dataCentre(size, 3) {
-			i := startedInstance(r, firstFromPeers, func(context.Context, string) (objectstore.Listing, error) {
+			i := startedInstance(r, firstFromStore, func(context.Context, string) (objectstore.Listing, error) {
 				cheap++
 				return objectstore.Listing{Version: 1, Age: time.Minute}, nil
 			})
--- a/internal/replica/follow_test.go
+++ b/internal/replica/follow_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand"
 	"net/http"
 	"net/http/httptest"
 	"net/http/httptrace"
@@ -77,7 +79,17 @@
 	must.False(t, f.Full)
 	must.Eq(t, []objectstore.Object{object("k/b", 11), removed("k/a", 12)}, f.Objects)
 	late, _ := follow(t, addr, 5) // from a version whose changes are not known
-	must.True(t, next(t, late).Full)
+	m := <-late
+	must.True(t, m.Frames[0].Full)
+	copied := New("k")
+	copied.List(0, "k", m.Frames[0].Listing)
+	for _, f := range m.Frames[1:] {
+		must.False(t, f.Full)
+		copied.Events(0, "k", f.Listing)
+	}
+	held, err := copied.Changes(0, "k", 0)
+	must.NoError(t, err)
+	must.Eq(t, []objectstore.Object{object("k/b", 11)}, held.Objects)
 	stop()
 	must.ErrorIs(t, <-ended, objectstore.ErrUnavailable)
 	_, ended = follow(t, addr, 12)
@@ -180,12 +192,65 @@
 
 func (w *slowWriter) SetWriteDeadline(time.Time) error { return nil }
 
+// Load pattern: many instances start within moments, while targets change. Guards
+// against a list that is encoded for each of them, and against one that was encoded for an
+// earlier one and leaves out what changed since.
+func TestListIsSharedAndMadeGood(t *testing.T) {
+	r := New("k")
+	r.List(0, "k", listing(10, object("k/a", 4), object("k/b", 5)))
+	s := newServer(r, stream, still, make(chan struct{}))
+	tell := func() envelope {
+		var e envelope
+		must.NoError(t, s.tellKind(&cursor{kind: "k"}, &e))
+		return e
+	}
+	first := tell()
+	must.Len(t, 1, first.Lists)
+	must.SliceEmpty(t, first.Frames)
+	r.Events(0, "k", listing(12, object("k/c", 11), removed("k/a", 12)))
+	second := tell()
+	must.Len(t, 1, second.Lists)
+	must.Eq(t, &first.Lists[0].Packed[0], &second.Lists[0].Packed[0]) // the same bytes
+	must.Len(t, 1, second.Frames)
+	must.Eq(t, []objectstore.Object{object("k/c", 11), removed("k/a", 12)}, second.Frames[0].Objects)
+	must.False(t, second.Frames[0].Full)
+}
+
+// Load pattern: changes come faster than a follower takes them. Guards against a
+// follower behind the log of changes that is told only a part of them.
+func TestChangesBehindTheLog(t *testing.T) {
+	r := New("k")
+	r.List(0, "k", listing(1, object("k/old", 1)))
+	var want []objectstore.Object
+	for v := objectstore.Version(2); v < 2*maxLog; v++ {
+		o := object(fmt.Sprintf("k/%d", v%(maxLog/2)), v)
+		r.Events(0, "k", listing(v, o))
+		if v >= 2*maxLog-maxLog/2 {
+			want = append(want, o)
+		}
+	}
+	r.Events(0, "k", listing(3*maxLog, removed("k/old", 3*maxLog)))
+	want = append(want, removed("k/old", 3*maxLog))
+	for _, after := range []objectstore.Version{1, 2, maxLog} {
+		l, err := r.Changes(0, "k", after)
+		must.NoError(t, err)
+		must.Eq(t, want, l.Objects)
+	}
+	l, err := r.Changes(0, "k", 2*maxLog-3)
+	must.NoError(t, err)
+	must.Eq(t, want[len(want)-3:], l.Objects)
+}
+
 // Load pattern: a data centre's instances all start at once and ask one of them
 // for everything. Guards against one instance that answers them all and runs out
 // of memory.
 func TestFullListsAreBounded(t *testing.T) {
+	const lists = 2
+	noise := make([]byte, maxListBytes/lists*3/4) // text of it takes more, and can't be compressed
+	_, err := rand.New(rand.NewSource(1)).Read(noise)
+	must.NoError(t, err)
 	r := New("k")
-	r.List(0, "k", listing(10, object("k/a", 4)))
+	r.List(0, "k", listing(10, objectstore.Object{Key: "k/a", Version: 4, Value: noise}))
 	h := r.Handler(stream, still, make(chan struct{}))
 	ctx, cancel := context.WithCancel(t.Context())
 	ask := func(after string) *http.Request {
@@ -193,7 +258,7 @@
 	}
 	free := make(chan struct{})
 	close(free)
-	writing, release, done := make(chan struct{}, maxLists+2), make(chan struct{}), make(chan struct{}, maxLists+2)
+	writing, release, done := make(chan struct{}, lists+2), make(chan struct{}), make(chan struct{}, lists+2)
 	start := func(after string, release chan struct{}) {
 		go func() {
 			h.ServeHTTP(&slowWriter{httptest.NewRecorder(), writing, release}, ask(after))
@@ -201,7 +266,7 @@
 		}()
 		<-writing
 	}
-	for range maxLists {
+	for range lists {
 		start("0", release)
 	}
 	refused := httptest.NewRecorder()
@@ -210,7 +275,7 @@
 	start("10", free) // a follower that holds the state needs no list
 	close(release)
 	cancel()
-	for range maxLists + 1 {
+	for range lists + 1 {
 		<-done
 	}
 	ctx, cancel = context.WithCancel(t.Context())
--- a/internal/replica/frame.go
+++ b/internal/replica/frame.go
@@ -26,16 +26,12 @@
 }
 
 // frame returns what a follower that holds a version has to be told, and the news
-// that it covers. A follower that is too far behind is told everything.
+// that it covers. The error is ErrExpired for a follower that is too far behind.
 func (r *Replica) frame(now time.Duration, name string, after objectstore.Version) (f Frame, news uint64, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	f = Frame{Kind: name, Full: after == 0}
 	f.Listing, err = r.changes(now, name, after)
-	if errors.Is(err, objectstore.ErrExpired) {
-		f.Full = true
-		f.Listing, err = r.changes(now, name, 0)
-	}
 	if err != nil {
 		return f, 0, err
 	}
--- a/internal/replica/fuzz_test.go
+++ b/internal/replica/fuzz_test.go
@@ -16,9 +16,14 @@
 // Guards against a message of another instance that takes the process down, uses up
 // its memory or takes a version back.
 func FuzzMessage(f *testing.F) {
-	packed, err := encode(Message{Frames: []Frame{{Kind: "k", Full: true, Listing: listing(9, object("k/a", 4))}}})
+	packed, err := encode(envelope{Message: Message{Frames: []Frame{{Kind: "k", Full: true, Listing: listing(9, object("k/a", 4))}}}})
 	must.NoError(f, err)
 	f.Add(packed)
+	list, err := pack(Frame{Kind: "k", Full: true, Listing: listing(9, object("k/a", 4))})
+	must.NoError(f, err)
+	shared, err := encode(envelope{Lists: []packedFrame{{list, time.Second}}})
+	must.NoError(f, err)
+	f.Add(shared)
 	f.Add([]byte(`{"Frames":[{"Kind":"k","Version":7,"Age":-5,"Deltas":[{"Key":"k/a","Version":5,"Base":4,"Parts":[{"From":0,"Len":1},{"Text":"eA=="}]}]}]}`))
 	f.Add([]byte(`{"Frames":[{"Kind":"other"}],"Packed":"H4sIAAAAAAAA"}`))
 	f.Fuzz(func(t *testing.T, text []byte) {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -41,6 +41,10 @@
 	objects map[string]objectstore.Object
 	// removed holds the versions of objects removed since floor.
 	removed map[string]objectstore.Version
+	// log has the changes after logFloor, so that a follower is told of one without a
+	// look at all objects.
+	log      changeLog
+	logFloor objectstore.Version
 	// former holds large objects as they were before the last answer that changed
 	// them; answers counts the answers.
 	former  map[string]*former
@@ -114,6 +118,7 @@
 	}
 	if u.First {
 		k.floor = l.Version
+		k.log, k.logFloor = nil, l.Version
 	}
 	k.listed = true
 	r.advance(k, l.Version, min(now-l.Age, now), len(u.Objects) > 0 || u.First)
@@ -158,6 +163,7 @@
 	}
 	k.objects[o.Key] = o
 	delete(k.removed, o.Key)
+	k.note(o.Version, o.Key)
 	return true
 }
 
@@ -165,6 +171,7 @@
 	delete(k.objects, key)
 	delete(k.former, key)
 	k.removed[key] = version
+	k.note(version, key)
 	if len(k.removed) > maxTombstones {
 		clear(k.removed)
 		k.floor = version
@@ -267,6 +274,10 @@
 	case after > 0 && after < k.floor:
 		return l, objectstore.ErrExpired
 	}
+	if after > 0 && after >= k.logFloor {
+		l.Objects = k.since(after)
+		return l, nil
+	}
 	for _, o := range k.objects {
 		if o.Version > after {
 			l.Objects = append(l.Objects, o)
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -2,26 +2,30 @@
 
 import (
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sync/semaphore"
 
 	"guavaloom.example/guavaloom/internal/objectstore"
 )
 
 const (
 	// followPath is the path of the call by which instances follow a replica.
-	followPath = "/v1/follow"
+	followPath = "/v2/follow"
 	// slowestLink is the rate in bytes a second at which a follower must take a
 	// message: a tenth of the users' slowest link.
 	slowestLink = 125_000
-	// maxLists is how many followers are told everything at a time. Further instances
-	// that start at the same moment are turned to others, so that the memory and
-	// the link of one are not used up by all.
-	maxLists = 4
+	// maxListBytes bounds the lists that are being sent. Further instances that start at
+	// the same moment are turned to others, so that the memory and the link of one are
+	// not used up by all.
+	maxListBytes = 4 << 20
+	// listReuse is how long an encoded list is used for further followers, which are told
+	// the changes since.
+	listReuse = 2 * time.Second
 )
 
 // StreamTiming has the times of the stream between instances.
@@ -40,17 +44,36 @@
 	timing  StreamTiming
 	now     func() time.Duration
 	stop    <-chan struct{}
-	lists   chan struct{}
+	// sending counts the bytes of lists.
+	sending *semaphore.Weighted
+
+	mu    sync.Mutex // guards all below; taken before the replica's
+	lists map[string]*encodedList
+}
+
+// encodedList is a kind's list as it is sent, and what it covers.
+type encodedList struct {
+	packed  []byte
+	at      time.Duration
+	version objectstore.Version
+	news    uint64
 }
 
 // Handler serves the replica to other instances. now reads the steady clock.
 func (r *Replica) Handler(timing StreamTiming, now func() time.Duration, stop <-chan struct{}) http.Handler {
-	s := &server{replica: r, timing: timing, now: now, stop: stop, lists: make(chan struct{}, maxLists)}
+	s := newServer(r, timing, now, stop)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+followPath, s.follow)
 	return mux
 }
 
+func newServer(r *Replica, timing StreamTiming, now func() time.Duration, stop <-chan struct{}) *server {
+	return &server{
+		replica: r, timing: timing, now: now, stop: stop,
+		sending: semaphore.NewWeighted(maxListBytes), lists: map[string]*encodedList{},
+	}
+}
+
 // cursor is what a follower has been told of one kind.
 type cursor struct {
 	kind  string
@@ -128,35 +151,82 @@
 		return errStopping
 	default:
 	}
-	var m Message
+	var e envelope
 	for _, c := range cursors {
-		if c.told && !s.replica.hasNews(c.kind, c.news) {
-			continue
-		}
-		f, news, err := s.replica.frame(s.now(), c.kind, c.after)
-		if errors.Is(err, objectstore.ErrUnavailable) {
-			return errNothingYet
+		if err := s.tellKind(c, &e); err != nil {
+			return err
 		}
+	}
+	bytes := int64(0)
+	for _, l := range e.Lists {
+		bytes += int64(len(l.Packed))
+	}
+	bytes = min(bytes, maxListBytes)
+	if !s.sending.TryAcquire(bytes) {
+		return errManyLists
+	}
+	defer s.sending.Release(bytes)
+	return s.write(w, e)
+}
+
+// tellKind adds what is new of one kind to a message.
+func (s *server) tellKind(c *cursor, e *envelope) error {
+	if c.told && !s.replica.hasNews(c.kind, c.news) {
+		return nil
+	}
+	if !s.replica.reaches(c.kind, c.after) {
+		l, err := s.list(c.kind)
 		if err != nil {
 			return err
 		}
-		c.told, c.after, c.news = true, f.Version, news
-		m.Frames = append(m.Frames, f)
-	}
-	if slices.ContainsFunc(m.Frames, func(f Frame) bool { return f.Full }) {
-		select {
-		case s.lists <- struct{}{}:
-			defer func() { <-s.lists }()
-		default:
-			return errManyLists
+		e.Lists = append(e.Lists, packedFrame{Packed: l.packed, Waited: s.now() - l.at})
+		c.told, c.after, c.news = true, l.version, l.news
+		if !s.replica.hasNews(c.kind, c.news) {
+			return nil
 		}
 	}
-	return s.write(w, m)
+	f, news, err := s.replica.frame(s.now(), c.kind, c.after)
+	if err != nil {
+		return refusal(err)
+	}
+	c.told, c.after, c.news = true, f.Version, news
+	e.Frames = append(e.Frames, f)
+	return nil
+}
+
+// list returns the list of a kind as it is sent. Followers that start at the same time
+// share one, since encoding it takes far longer than sending it.
+func (s *server) list(kind string) (*encodedList, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	if l := s.lists[kind]; l != nil && now < l.at+listReuse && s.replica.reaches(kind, l.version) {
+		return l, nil
+	}
+	f, news, err := s.replica.frame(now, kind, 0)
+	if err != nil {
+		return nil, refusal(err)
+	}
+	packed, err := pack(f)
+	if err != nil {
+		return nil, err
+	}
+	l := &encodedList{packed: packed, at: now, version: f.Version, news: news}
+	s.lists[kind] = l
+	return l, nil
+}
+
+// refusal returns what a follower is told if a kind can't be told.
+func refusal(err error) error {
+	if errors.Is(err, objectstore.ErrUnavailable) {
+		return errNothingYet
+	}
+	return err
 }
 
 // write sends a message; it fails if the follower does not take it in time.
-func (s *server) write(w http.ResponseWriter, m Message) error {
-	text, err := encode(m)
+func (s *server) write(w http.ResponseWriter, e envelope) error {
+	text, err := encode(e)
 	if err != nil {
 		return errors.Wrap(err, "message")
 	}
@@ -171,6 +241,14 @@
 	return out.Flush()
 }
 
+// reaches reports whether a follower of a version can be told the changes since.
+func (r *Replica) reaches(name string, after objectstore.Version) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k := r.kinds[name]
+	return k != nil && k.listed && after > 0 && after >= k.floor
+}
+
 // waker returns a channel that is closed when there is something to tell.
 func (r *Replica) waker() <-chan struct{} {
 	r.mu.Lock()
--- a/internal/replica/wire.go
+++ b/internal/replica/wire.go
@@ -18,6 +18,9 @@
 // 1 MB that a compressor takes.
 const packAbove = 16 << 10
 
+// maxPacked bounds the lists of a message, one a kind.
+const maxPacked = 16
+
 // wireFrame is a Frame as it is sent.
 type wireFrame struct {
 	Kind        string
@@ -72,18 +75,48 @@
 	return nil
 }
 
-// envelope is a line of the stream: a message, or one that was compressed.
+// envelope is a line of the stream.
 type envelope struct {
 	Message
+	// Lists go before the frames.
+	Lists []packedFrame `json:",omitempty"`
+	// Packed is a whole message, compressed.
 	Packed []byte `json:",omitempty"`
 }
 
-// encode returns the line for a message.
-func encode(m Message) ([]byte, error) {
-	text, err := json.Marshal(m)
-	if err != nil || len(text) < packAbove {
-		return append(text, '\n'), err
+// packedFrame is a compressed frame that may have been made for an earlier follower.
+type packedFrame struct {
+	Packed []byte
+	// Waited is the time since the frame was made.
+	Waited time.Duration `json:",omitempty"`
+}
+
+// encode returns the line of an envelope.
+func encode(e envelope) ([]byte, error) {
+	text, err := json.Marshal(e.Message)
+	if err != nil {
+		return nil, err
+	}
+	if len(text) >= packAbove {
+		if e.Packed, err = compress(text); err != nil {
+			return nil, err
+		}
+		e.Message = Message{}
 	}
+	text, err = json.Marshal(e)
+	return append(text, '\n'), err
+}
+
+// pack compresses a frame.
+func pack(f Frame) ([]byte, error) {
+	text, err := json.Marshal(f)
+	if err != nil {
+		return nil, err
+	}
+	return compress(text)
+}
+
+func compress(text []byte) ([]byte, error) {
 	var packed bytes.Buffer
 	z, err := gzip.NewWriterLevel(&packed, gzip.BestSpeed)
 	if err != nil {
@@ -92,29 +125,51 @@
 	if _, err := z.Write(text); err != nil {
 		return nil, err
 	}
-	if err := z.Close(); err != nil {
-		return nil, err
-	}
-	text, err = json.Marshal(envelope{Packed: packed.Bytes()})
-	return append(text, '\n'), err
+	err = z.Close()
+	return packed.Bytes(), err
 }
 
 // open returns the message of a line.
 func (e *envelope) open() (Message, error) {
-	if len(e.Packed) == 0 {
-		return e.Message, nil
+	if len(e.Lists) > maxPacked {
+		return Message{}, errors.Errorf("message of %d lists, allowed are %d", len(e.Lists), maxPacked)
+	}
+	m := e.Message
+	if len(e.Packed) > 0 {
+		if err := unpack(e.Packed, &m); err != nil {
+			return Message{}, err
+		}
+	}
+	lists := make([]Frame, len(e.Lists))
+	for n, l := range e.Lists {
+		f := &lists[n]
+		if err := unpack(l.Packed, f); err != nil {
+			return Message{}, err
+		}
+		if l.Waited < 0 {
+			return Message{}, errors.Errorf("list that waited for %s", l.Waited)
+		}
+		f.Age += l.Waited
+		if f.SinceOutage > 0 {
+			f.SinceOutage += l.Waited
+		}
 	}
-	z, err := gzip.NewReader(bytes.NewReader(e.Packed))
+	m.Frames = append(lists, m.Frames...)
+	return m, nil
+}
+
+// unpack reads what was compressed.
+func unpack(packed []byte, into any) error {
+	z, err := gzip.NewReader(bytes.NewReader(packed))
 	if err != nil {
-		return Message{}, errors.Wrap(err, "compressed message")
+		return errors.Wrap(err, "compressed message")
 	}
 	text, err := io.ReadAll(io.LimitReader(z, maxMessage))
 	if err != nil {
-		return Message{}, errors.Wrap(err, "compressed message")
+		return errors.Wrap(err, "compressed message")
 	}
-	var m Message
-	if err := json.Unmarshal(text, &m); err != nil {
-		return Message{}, errors.Wrap(err, "compressed message")
+	if err := json.Unmarshal(text, into); err != nil {
+		return errors.Wrap(err, "compressed message")
 	}
-	return m, nil
+	return nil
 }
--- a/internal/replica/wire_test.go
+++ b/internal/replica/wire_test.go
@@ -13,7 +13,7 @@
 
 func pass(t *testing.T, m Message) (got Message, size int) {
 	t.Helper()
-	line, err := encode(m)
+	line, err := encode(envelope{Message: m})
 	must.NoError(t, err)
 	var e envelope
 	must.NoError(t, json.Unmarshal(line, &e))
@@ -57,3 +57,26 @@
 	_, err := e.open()
 	must.Error(t, err)
 }
+
+// Guards against a list that is taken for fresher than it is because it was encoded for
+// an earlier follower, and against one whose time runs backwards.
+func TestSharedListAges(t *testing.T) {
+	packed, err := pack(Frame{Kind: "k", Full: true, Listing: objectstore.Listing{Version: 7, Age: time.Second, SinceOutage: 2 * time.Second}})
+	must.NoError(t, err)
+	line, err := encode(envelope{Lists: []packedFrame{{packed, 300 * time.Millisecond}}, Message: Message{Frames: []Frame{{Kind: "k"}}}})
+	must.NoError(t, err)
+	var e envelope
+	must.NoError(t, json.Unmarshal(line, &e))
+	m, err := e.open()
+	must.NoError(t, err)
+	must.Len(t, 2, m.Frames)
+	must.True(t, m.Frames[0].Full)
+	must.Eq(t, 1300*time.Millisecond, m.Frames[0].Age)
+	must.Eq(t, 2300*time.Millisecond, m.Frames[0].SinceOutage)
+	e.Lists[0].Waited = -time.Second
+	_, err = e.open()
+	must.Error(t, err)
+	e.Lists = make([]packedFrame, maxPacked+1)
+	_, err = e.open()
+	must.Error(t, err)
+}
