edge: ask no other instance while the store answers a start

An instance of 0.192 cores takes longer than 50 ms to read a list of 3,000 targets, and asked a seed for everything meanwhile; since lists are shared, the seeds now tell all of them. A list of many pages would also have run into its limit of 400 ms.

Once any kind was listed, others are asked only if a first list fails; the limit is one of each call.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -118,6 +118,21 @@
 	}
 }
 
+// Guards against a start that hangs with a store that answers nothing, though another
+// instance could tell.
+func TestStartWithASilentStore(t *testing.T) {
+	s := newSite(t)
+	s.target("i-a1", 0xa1)
+	one := s.start(1, s.store.Addr())
+	one.awaitReady()
+	silent := standin.New()
+	silent.SetFaults(standin.Faults{Silent: true})
+	t.Cleanup(silent.Close)
+	two := s.start(2, silent.Addr(), one.settings.Peer)
+	two.awaitReady()
+	eventually(t, "the line of its source", func() bool { return strings.Contains(two.log.String(), `"source":"peer"`) })
+}
+
 // Guards against a list older than the replica that takes a change back, or is
 // ignored without a word.
 func TestStaleListIsIgnoredAndLogged(t *testing.T) {
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -93,6 +93,8 @@
 	registry *registry
 	// peers is used for calls to other instances.
 	peers *http.Client
+	// firstLists waits for the first list of each kind.
+	firstLists sync.WaitGroup
 	// instancesListed is closed when the first list of the instances has been taken or failed.
 	instancesListed chan struct{}
 	// stopped is closed when the instance begins to stop.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -55,6 +55,11 @@
 // hears that way of what the reader of its data centre learns.
 func (i *Instance) askOthers(ctx context.Context) {
 	sleep(ctx, i.firstListDelay()+firstFromStore)
+	if i.anyListed() {
+		// The store answers. What others tell would cross data centres, for every instance
+		// of a fleet that starts.
+		i.firstLists.Wait()
+	}
 	for ctx.Err() == nil {
 		now := i.now()
 		rest := i.freshFor(now)
--- a/internal/edge/reading.go
+++ b/internal/edge/reading.go
@@ -26,8 +26,6 @@
 	// should not need it. When the store is down for all, they would otherwise
 	// multiply the calls by their number.
 	strayPause = 3 * time.Second
-	// staleListTimeout is the limit of a list that may be old: a slow store's answer.
-	staleListTimeout = 400 * time.Millisecond
 	// firstPause is the pause between checks while that time runs.
 	firstPause = 5 * time.Millisecond
 	// idlePause is the pause before a source that is not needed is considered again.
@@ -46,6 +44,7 @@
 // startReading starts to follow all kinds.
 func (i *Instance) startReading(ctx context.Context) {
 	for _, kind := range i.replica.Kinds() {
+		i.firstLists.Add(1)
 		go i.readStore(ctx, kind)
 	}
 	go i.followParent(ctx)
@@ -56,6 +55,7 @@
 // readStore follows a kind at the store, as long as this instance should.
 func (i *Instance) readStore(ctx context.Context, kind string) {
 	i.listFirst(ctx, kind)
+	i.firstLists.Done()
 	wait := i.timing.StoreWait
 	if kind == i.platform.InstanceKind {
 		close(i.instancesListed)
@@ -97,9 +97,7 @@
 	if i.platform.ListStale == nil || i.listed(kind) {
 		return
 	}
-	limited, cancel := context.WithTimeout(ctx, staleListTimeout)
-	defer cancel()
-	l, err := i.platform.ListStale(limited, kind)
+	l, err := i.platform.ListStale(ctx, kind)
 	i.countRead(storeSource, "list_stale", err)
 	now := i.now()
 	if err != nil {
@@ -116,6 +114,9 @@
 	return !slices.ContainsFunc(i.replica.Kinds(), func(kind string) bool { return !i.listed(kind) })
 }
 
+// anyListed reports whether something is known of any kind.
+func (i *Instance) anyListed() bool { return slices.ContainsFunc(i.replica.Kinds(), i.listed) }
+
 // listed reports whether something is known of a kind.
 func (i *Instance) listed(kind string) bool {
 	_, listed := i.replica.Age(i.now(), kind)
