soak: each run has loopback addresses of its own

A run of the program with an address that is taken ends with exactly that status ("bind: address already in use", tried by hand with a taken readiness port). All runs used 127.0.0.1 and up, and drew ports by binding them for a moment, so that a run could take the port of another run's instance while that was restarted.

Runs use a /24 of the loopback network each (TestRunsHaveAddressesOfTheirOwn), and the report of an instance that ended by itself quotes the end of its log.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -71,7 +71,7 @@
 	i.mu.Unlock()
 	switch {
 	case expected == "":
-		i.report("%s ended by itself: %v", i.name, err)
+		i.report("%s ended by itself: %v; its log ends with %s", i.name, err, i.lastWords())
 	case expected == "terminated" && err != nil:
 		i.report("%s ended with %v after SIGTERM", i.name, err)
 	}
@@ -126,10 +126,19 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// newInstance writes the settings of an instance at 127.0.0.N.
-func newInstance(dir, program string, n int, zone string, packetPort uint16, port func(ip netip.Addr) netip.AddrPort,
+// lastWords returns the end of the process's log, which tells why it ended.
+func (i *instance) lastWords() string {
+	const most = 600 // bytes
+	b, err := os.ReadFile(i.log.Name())
+	if err != nil {
+		return err.Error()
+	}
+	return string(b[max(0, len(b)-most):])
+}
+
+// newInstance writes the settings of an instance at an address.
+func newInstance(dir, program string, n int, ip netip.Addr, zone string, packetPort uint16, port func(ip netip.Addr) netip.AddrPort,
 	store *proxy, seeds []string) (*instance, error) {
-	ip := netip.AddrFrom4([4]byte{127, 0, 0, byte(n)})
 	i := &instance{
 		name: fmt.Sprintf("instance-%d", n), packet: netip.AddrPortFrom(ip, packetPort), ready: port(ip),
 		program: program, store: store, file: filepath.Join(dir, fmt.Sprintf("instance-%d.ini", n)),
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -175,14 +175,16 @@
 	if count == 0 {
 		count = 2 + rng.Intn(4)
 	}
+	// Addresses and ports are drawn apart from the seed, so that runs side by side don't
+	// take the ports of instances that are being restarted.
+	net := newSubnet()
 	var ips []netip.Addr
 	for n := range count + clients {
-		ips = append(ips, netip.AddrFrom4([4]byte{127, 0, 0, byte(1 + n)}))
+		ips = append(ips, net.addr(n))
 	}
-	// Ports are drawn apart from the seed, so that runs side by side don't collide.
 	packetPort, port := portFinder(rand.New(rand.NewSource(time.Now().UnixNano())), ips)
 	w := &world{
-		rng: rng, store: standin.New(), packetPort: packetPort, version: 1,
+		rng: rng, net: net, store: standin.New(), packetPort: packetPort, version: 1,
 		routes: map[int]time.Time{}, removed: map[int]time.Time{}, rotation: map[int]bool{},
 	}
 	t.Cleanup(w.store.Close)
@@ -202,7 +204,7 @@
 		p, err := newProxy(w.store.Addr())
 		must.NoError(t, err)
 		t.Cleanup(p.close)
-		i, err := newInstance(dir, program, n+1, "a", packetPort, port, p, seeds)
+		i, err := newInstance(dir, program, n+1, ips[n], "a", packetPort, port, p, seeds)
 		must.NoError(t, err)
 		i.report = w.report
 		must.NoError(t, i.start())
@@ -211,6 +213,20 @@
 	return w
 }
 
+// Guards against runs side by side whose instances and port finders take one another's
+// ports while an instance is being restarted.
+func TestRunsHaveAddressesOfTheirOwn(t *testing.T) {
+	seen := map[netip.Addr]bool{}
+	for range 64 {
+		s := newSubnet()
+		for n := range maxAddrs {
+			must.True(t, s.addr(n).IsLoopback())
+			must.False(t, seen[s.addr(n)])
+			seen[s.addr(n)] = true
+		}
+	}
+}
+
 // clients is how many addresses clients have, each with several flows at a time.
 const clients = 3
 
@@ -219,7 +235,7 @@
 	const flows = 6
 	ended := make(chan struct{})
 	for n := range clients {
-		ip := netip.AddrFrom4([4]byte{127, 0, 0, byte(1 + len(w.instances) + n)})
+		ip := w.net.addr(len(w.instances) + n)
 		c, err := standin.NewClient(netip.AddrPortFrom(ip, w.packetPort), w.route)
 		must.NoError(t, err)
 		t.Cleanup(c.Close)
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -5,7 +5,9 @@
 	"math/rand"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"guavaloom.example/guavaloom/internal/forwarding"
@@ -56,6 +58,7 @@
 // world is one run.
 type world struct {
 	rng        *rand.Rand
+	net        subnet
 	store      *standin.Store
 	instances  []*instance
 	packetPort uint16
@@ -137,7 +140,7 @@
 	w.nextKey++
 	key := 0x1000 + w.nextKey
 	if !at.IsValid() {
-		at = netip.MustParseAddrPort("127.0.0.1:0")
+		at = netip.AddrPortFrom(w.net.addr(maxAddrs-1), 0)
 	}
 	t, err := standin.NewTarget(standin.TargetConfig{
 		ID: fmt.Sprintf("i-%x", key), Service: service, Zone: zone, Key: key, PacketPort: w.packetPort, Listen: at,
@@ -217,6 +220,27 @@
 	}
 }
 
+// subnet is a /24 of the loopback network that one run has for itself.
+type subnet [3]byte
+
+// maxAddrs is how many addresses a subnet has.
+const maxAddrs = 250
+
+// subnets counts those that this process has used.
+var subnets atomic.Uint32
+
+// newSubnet returns a subnet of its own for each run of this process, and with other
+// processes' runs one that is most likely another.
+func newSubnet() subnet {
+	const all = 250 * 250
+	n := (uint32(os.Getpid())*64 + subnets.Add(1)) % all
+	return subnet{127, byte(1 + n/250), byte(n % 250)}
+}
+
+func (s subnet) addr(n int) netip.Addr {
+	return netip.AddrFrom4([4]byte{s[0], s[1], s[2], byte(1 + n)})
+}
+
 // portFinder returns a function that picks free ports and the packet port, which
 // is free on all addresses of the run.
 func portFinder(rng *rand.Rand, ips []netip.Addr) (packet uint16, pick func(netip.Addr) netip.AddrPort) {
