replica: tell a follower from before the first list what changed, not everything

The parent tells the objects that changed since and how many there are; a follower that then holds another number, since some were removed in between, asks for everything. TestFollowerFromBeforeTheFirstList. TestFollow expected everything in that case and now expects the changes with the count.

--- a/internal/replica/frame.go
+++ b/internal/replica/frame.go
@@ -16,6 +16,9 @@
 	// Full tells that the listing has all objects of the kind.
 	Full bool
 	objectstore.Listing
+	// Count is the number of objects that the follower then holds, if the sender does not
+	// know which ones were removed since the follower's version; else 0.
+	Count int
 	// Deltas are further changes, told as differences to what the follower holds.
 	Deltas []Delta
 }
@@ -26,13 +29,16 @@
 }
 
 // frame returns what a follower that holds a version has to be told, and the news
-// that it covers. The error is ErrExpired for a follower that is too far behind.
+// that it covers.
 func (r *Replica) frame(now time.Duration, name string, after objectstore.Version) (f Frame, news uint64, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	f = Frame{Kind: name, Full: after == 0}
 	f.Listing, err = r.changes(now, name, after)
-	if err != nil {
+	if errors.Is(err, objectstore.ErrExpired) {
+		f.Objects = r.kinds[name].newer(after)
+		f.Count = len(r.kinds[name].objects)
+	} else if err != nil {
 		return f, 0, err
 	}
 	k := r.kinds[name]
@@ -65,7 +71,8 @@
 }
 
 // Expand turns the differences of a frame into objects. It fails if the replica does
-// not hold what they refer to; then everything has to be asked for.
+// not hold what they refer to, or holds what the sender does not; then everything has
+// to be asked for.
 func (r *Replica) Expand(f *Frame) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -88,5 +95,19 @@
 		f.Objects = append(f.Objects, objectstore.Object{Key: d.Key, Version: d.Version, Value: value})
 	}
 	f.Deltas = nil
+	if f.Count > 0 && k.countWith(f.Objects) != f.Count {
+		return errors.Errorf("%s: objects were removed that the sender can't name", f.Kind)
+	}
 	return nil
 }
+
+// countWith returns the number of objects with further ones.
+func (k *kind) countWith(more []objectstore.Object) int {
+	n := len(k.objects)
+	for _, o := range more {
+		if _, held := k.objects[o.Key]; !held {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -148,7 +148,7 @@
 }
 
 func sorted(u Update) Update {
-	slices.SortStableFunc(u.Objects, func(a, b objectstore.Object) int { return cmp.Compare(a.Version, b.Version) })
+	sortObjects(u.Objects)
 	return u
 }
 
@@ -278,16 +278,27 @@
 		l.Objects = k.since(after)
 		return l, nil
 	}
-	for _, o := range k.objects {
-		if o.Version > after {
-			l.Objects = append(l.Objects, o)
-		}
-	}
+	l.Objects = k.newer(after)
 	for key, version := range k.removed {
 		if after > 0 && version > after {
 			l.Objects = append(l.Objects, objectstore.Object{Key: key, Version: version, Deleted: true})
 		}
 	}
-	slices.SortFunc(l.Objects, func(a, b objectstore.Object) int { return cmp.Compare(a.Version, b.Version) })
+	sortObjects(l.Objects)
 	return l, nil
 }
+
+// newer returns the objects that changed after a version, without the removed ones.
+func (k *kind) newer(after objectstore.Version) (out []objectstore.Object) {
+	for _, o := range k.objects {
+		if o.Version > after {
+			out = append(out, o)
+		}
+	}
+	sortObjects(out)
+	return out
+}
+
+func sortObjects(objects []objectstore.Object) {
+	slices.SortFunc(objects, func(a, b objectstore.Object) int { return cmp.Compare(a.Version, b.Version) })
+}
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -174,7 +174,7 @@
 	if c.told && !s.replica.hasNews(c.kind, c.news) {
 		return nil
 	}
-	if !s.replica.reaches(c.kind, c.after) {
+	if c.after == 0 {
 		l, err := s.list(c.kind)
 		if err != nil {
 			return err
--- a/internal/replica/wire.go
+++ b/internal/replica/wire.go
@@ -29,6 +29,7 @@
 	Age         time.Duration `json:",omitempty"`
 	SinceOutage time.Duration `json:",omitempty"`
 	Objects     []wireObject  `json:",omitempty"`
+	Count       int           `json:",omitempty"`
 	Deltas      []Delta       `json:",omitempty"`
 }
 
@@ -44,7 +45,7 @@
 
 // MarshalJSON implements json.Marshaler.
 func (f Frame) MarshalJSON() ([]byte, error) {
-	w := wireFrame{Kind: f.Kind, Full: f.Full, Version: f.Version, Age: f.Age, SinceOutage: f.SinceOutage, Deltas: f.Deltas}
+	w := wireFrame{Kind: f.Kind, Full: f.Full, Version: f.Version, Age: f.Age, SinceOutage: f.SinceOutage, Count: f.Count, Deltas: f.Deltas}
 	for _, o := range f.Objects {
 		t := wireObject{Key: o.Key, Version: o.Version, Deleted: o.Deleted}
 		if utf8.Valid(o.Value) {
@@ -63,7 +64,7 @@
 	if err := json.Unmarshal(b, &w); err != nil {
 		return err
 	}
-	*f = Frame{Kind: w.Kind, Full: w.Full, Deltas: w.Deltas,
+	*f = Frame{Kind: w.Kind, Full: w.Full, Count: w.Count, Deltas: w.Deltas,
 		Listing: objectstore.Listing{Version: w.Version, Age: w.Age, SinceOutage: w.SinceOutage}}
 	for _, t := range w.Objects {
 		o := objectstore.Object{Key: t.Key, Version: t.Version, Value: t.Value, Deleted: t.Deleted}
