forwarding: a port that is used again begins a new flow

A client that used a port again while its former flow was still known had its new flow's first packet taken for a late copy of the former one's, which goes to the former target whatever its state: a target that drains got a new flow. A first packet with another number, or one that comes later than any copy, is placed anew.

TestPortUsedAgain failed first in its three cases.

--- a/internal/forwarding/flows.go
+++ b/internal/forwarding/flows.go
@@ -23,9 +23,10 @@
 	openingAt time.Duration
 	seenAt    time.Duration
 	opened    bool
-	// firstAt is when the first packet came, if sawFirst tells that it passed here;
-	// answered tells whether a request has been answered.
+	// firstAt is when the first packet came and firstSeq its number, if sawFirst tells that
+	// it passed here; answered tells whether a request has been answered.
 	firstAt            time.Duration
+	firstSeq           uint32
 	sawFirst, answered bool
 	// busy tells whether a request is unanswered, dataAt when its last new packet
 	// passed, and requestSeq where it began.
@@ -83,6 +84,16 @@
 	l.open++
 }
 
+// precedes reports whether a first packet begins another flow, whose client uses the
+// port of this one again. Copies of a first packet have its number, and none comes later
+// than a client waits for its answer.
+func (f *flowState) precedes(now time.Duration, first *Segment) bool {
+	if f.sawFirst {
+		return first.Seq != f.firstSeq
+	}
+	return now >= f.seenAt+openingTimeout
+}
+
 // setBusy records whether a request is in flight.
 func (f *flowState) setBusy(busy bool) {
 	if f.busy == busy {
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -174,6 +174,10 @@
 		return f.noRoute(now)
 	}
 	state := f.flows.flows[s.Flow]
+	if state != nil && state.precedes(now, s) {
+		f.flows.remove(s.Flow, state)
+		state = nil
+	}
 	if state == nil {
 		return f.place(now, s, r, nil, Placed)
 	}
@@ -233,7 +237,7 @@
 			continue
 		}
 		if state := f.flows.add(s.Flow, l, now); state != nil {
-			state.openingAt, state.firstAt, state.sawFirst = now, now, true
+			state.openingAt, state.firstAt, state.sawFirst, state.firstSeq = now, now, true, s.Seq
 			l.opening++
 		}
 		f.placed++
--- a/internal/forwarding/forwarder_test.go
+++ b/internal/forwarding/forwarder_test.go
@@ -344,3 +344,44 @@
 	b.put(1300*ms, e)
 	must.False(t, b.loads["i-1"].silent)
 }
+
+// Load pattern: a client uses a port again before its former flow was forgotten.
+// Guards against a new flow that is taken for a copy of the former one's first packet
+// and goes to a target that takes no new flows any more; a late copy still goes to the
+// flow's own target.
+func TestPortUsedAgain(t *testing.T) {
+	for name, silentBefore := range map[string]bool{"open flow": false, "flow that was never accepted": true} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed()
+			b.put(0, b.entry("i-old", "booking", "a"))
+			f := flowTo(bookingAddr, 1)
+			d := b.syn(1000*ms, f, 0)
+			if !silentBefore {
+				b.accept(1010*ms, f, d)
+			}
+			draining := b.entry("i-old", "booking", "a")
+			draining.Draining = true
+			b.put(1050*ms, draining)
+			b.put(1050*ms, b.entry("i-new", "booking", "a"))
+			d = b.syn(1060*ms, f, 1) // a late copy
+			must.Eq(t, "i-old", d.Target.ID)
+			d = b.Handle(1070*ms, &Segment{Flow: f, SYN: true, Seq: 7000})
+			must.Eq(t, Placed, d.Reason)
+			must.Eq(t, "i-new", d.Target.ID)
+			must.Eq(t, 1, b.loads["i-new"].opening)
+			must.Eq(t, 0, b.loads["i-old"].open+b.loads["i-old"].opening)
+		})
+	}
+	t.Run("flow whose first packet passed elsewhere", func(t *testing.T) {
+		b := newBed()
+		b.put(0, b.entry("i-old", "booking", "a"))
+		f := flowTo(bookingAddr, 1)
+		b.data(1000*ms, f, b.View.Target("i-old").Token, 101, 500, 10)
+		draining := b.entry("i-old", "booking", "a")
+		draining.Draining = true
+		b.put(1050*ms, draining)
+		b.put(1050*ms, b.entry("i-new", "booking", "a"))
+		must.Eq(t, "i-old", b.syn(1100*ms, f, 2).Target.ID)
+		must.Eq(t, "i-new", b.syn(1100*ms+openingTimeout, f, 0).Target.ID)
+	})
+}
