edge: leave long first lists to the parents

After all were killed, 303 instances took 900 KB of targets each from the store, 272 MB over a link of 1 Gbit/s, ran into the limit of the call and asked seeds in other data centres for everything.

A starting instance lists the instances first; from their number follows how many pages each may take for the whole fleet to be served within 0.6 s. A longer list is left to the parent, as long as a view that grows old.

--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -65,8 +66,9 @@
 type Platform struct {
 	Store objectstore.Store
 	// ListStale lists a kind from a copy of the store that may be old, which spares the
-	// store; nil where there is none.
-	ListStale func(ctx context.Context, kind string) (objectstore.Listing, error)
+	// store; nil where there is none. It fails with objectstore.ErrTooLong if the list has
+	// more pages.
+	ListStale func(ctx context.Context, kind string, pages int) (objectstore.Listing, error)
 	Codec     forwarding.Codec
 	Entries   Entries
 	// ConfigKind, TargetKind and InstanceKind are the kinds of the objects.
@@ -95,6 +97,9 @@
 	peers *http.Client
 	// firstLists waits for the first list of each kind.
 	firstLists sync.WaitGroup
+	// leftToParent tells that a first list was too long for each instance to take it from
+	// the store.
+	leftToParent atomic.Bool
 	// instancesListed is closed when the first list of the instances has been taken or failed.
 	instancesListed chan struct{}
 	// stopped is closed when the instance begins to stop.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -64,6 +64,8 @@
 		now := i.now()
 		rest := i.freshFor(now)
 		switch {
+		case !i.allListed() && i.awaitsParent(now):
+			sleep(ctx, retryPause)
 		case !i.allListed():
 			if addr, ok := i.registry.other(now); ok {
 				i.ask(ctx, addr)
--- a/internal/edge/reading.go
+++ b/internal/edge/reading.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -26,6 +27,11 @@
 	// should not need it. When the store is down for all, they would otherwise
 	// multiply the calls by their number.
 	strayPause = 3 * time.Second
+	// fleetPages is how many pages of lists the store gives to all instances of a fleet that
+	// start at once: some 75 MB, which take its link 0.6 s.
+	fleetPages = 500
+	// noPageLimit lets a list have any length.
+	noPageLimit = math.MaxInt
 	// firstPause is the pause between checks while that time runs.
 	firstPause = 5 * time.Millisecond
 	// idlePause is the pause before a source that is not needed is considered again.
@@ -58,13 +64,8 @@
 	i.firstLists.Done()
 	wait := i.timing.StoreWait
 	if kind == i.platform.InstanceKind {
-		close(i.instancesListed)
 		wait = i.timing.InstanceWait
 	}
-	select {
-	case <-i.instancesListed: // they tell whether this one is a reader
-	case <-ctx.Done():
-	}
 	rng := newRand()
 	staleAfter := i.timing.ReadStoreAfter + time.Duration(rng.Float64()*float64(strayPause/2))
 	plan := replica.NewPlan(wait, i.timing.Coalesce, rng)
@@ -90,23 +91,42 @@
 }
 
 // listFirst learns a kind at the start by a list that may be old. All instances may start
-// at once, and the list of each of them must not use up the store's rate; what is
-// missing in it comes from the store or from the parent in the tree a moment later.
+// at once, and the list of each of them must not use up the store's rate or its link; what
+// is missing in it comes from the store or from the parent in the tree a moment later.
 func (i *Instance) listFirst(ctx context.Context, kind string) {
-	sleep(ctx, i.firstListDelay())
+	pages := noPageLimit
+	if kind == i.platform.InstanceKind {
+		defer close(i.instancesListed)
+		sleep(ctx, i.firstListDelay())
+	} else {
+		select {
+		case <-i.instancesListed: // they tell how much the store can give to each
+		case <-ctx.Done():
+			return
+		}
+		pages = fleetPages / i.registry.size()
+	}
 	if i.platform.ListStale == nil || i.listed(kind) {
 		return
 	}
-	l, err := i.platform.ListStale(ctx, kind)
+	l, err := i.platform.ListStale(ctx, kind, pages)
 	i.countRead(storeSource, "list_stale", err)
 	now := i.now()
-	if err != nil {
-		i.log.Event(viewClass, "no stale list, the store is asked for its present one", logrus.Fields{
-			logfield.Kind: kind, logfield.Source: storeSource, logfield.Error: err.Error(),
-		})
+	if err == nil {
+		i.adopt(now, kind, storeSource, l, true)
 		return
 	}
-	i.adopt(now, kind, storeSource, l, true)
+	message := "no stale list, the store is asked for its present one"
+	if errors.Is(err, objectstore.ErrTooLong) && !i.registry.isReader(now) {
+		message = "list is left to the parent"
+		i.leftToParent.Store(true)
+	}
+	i.log.Event(viewClass, message, logrus.Fields{logfield.Kind: kind, logfield.Source: storeSource, logfield.Error: err.Error()})
+}
+
+// awaitsParent reports whether what was not listed yet is expected from the parent.
+func (i *Instance) awaitsParent(now time.Duration) bool {
+	return i.leftToParent.Load() && now < i.timing.ReadStoreAfter && !i.registry.isReader(now)
 }
 
 // allListed reports whether something is known of each kind.
@@ -136,7 +156,10 @@
 func (i *Instance) needsStore(kind string, staleAfter time.Duration) bool {
 	now := i.now()
 	age, ok := i.replica.Age(now, kind)
-	if !ok || i.registry.isReader(now) {
+	if !ok {
+		return !i.awaitsParent(now)
+	}
+	if i.registry.isReader(now) {
 		return true
 	}
 	return kind != i.platform.InstanceKind && age > staleAfter && now > staleAfter
--- a/internal/edge/registry.go
+++ b/internal/edge/registry.go
@@ -158,6 +158,13 @@
 	return h == nil || !h.failed || now >= h.failedAt+peerRetry
 }
 
+// size returns how many instances are known.
+func (r *registry) size() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.named)
+}
+
 // zoneSize returns how many instances of the own data centre are known.
 func (r *registry) zoneSize() int {
 	r.mu.Lock()
--- a/internal/objectstore/store.go
+++ b/internal/objectstore/store.go
@@ -54,6 +54,8 @@
 	ErrUnavailable = errors.New("store unavailable")
 	// ErrExpired means that a watch has to begin again with a list.
 	ErrExpired = errors.New("watch expired")
+	// ErrTooLong means that a list has more pages than the caller wants or may have.
+	ErrTooLong = errors.New("list has more pages")
 )
 
 // Store is the platform's object API as the rest of the program uses it.
