edge: ready only with a view that was confirmed; old copies keep their age

A restarted instance took its first view from a copy of the store that may be seconds old and reported ready: a target that had left since, or a route that had been removed, would have been in use again. TestRestartUsesNoTargetThatHasLeft.

Found with it: the first list's age was cut to the age of the process, so that an old copy counted as the state at its start (TestFirstListKeepsItsAge failed first).

TestStopForwardsUntilQuiet expects one more line, of the view that is not confirmed.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -118,6 +118,30 @@
 	}
 }
 
+// Load pattern: an instance is restarted while its only view is an old copy of the store.
+// Guards against a target that has left, and is in the copy still, being used again
+// because the instance asks for packets; and against one that stays out for ever.
+func TestRestartUsesNoTargetThatHasLeft(t *testing.T) {
+	s := newSite(t)
+	s.target("i-old", 0xa1)
+	s.store.SetFaults(standin.Faults{LagCopies: true})
+	s.store.Delete(platform.TargetKind, "i-old")
+	s.store.SetFaults(standin.Faults{LagCopies: true, RefuseWatches: true, RefuseLists: true})
+	one := s.start(1, s.store.Addr())
+	eventually(t, "the old copy", func() bool { return s.store.Copies() >= 3 && strings.Contains(one.log.String(), "unconfirmed_view") })
+	must.False(t, one.ready())
+	s.store.SetFaults(standin.Faults{LagCopies: true})
+	one.awaitReady()
+	for _, st := range one.status().Targets {
+		must.NotEq(t, "ready", st.State)
+	}
+	closed := s.start(2, s.store.Addr())
+	closed.awaitReady()
+	s.store.SetFaults(standin.Faults{RefuseLists: true, RefuseWatches: true})
+	three := s.start(9, s.store.Addr())
+	three.awaitReady() // nothing better comes
+}
+
 // Guards against a start that hangs with a store that answers nothing, though another
 // instance could tell.
 func TestStartWithASilentStore(t *testing.T) {
@@ -282,8 +306,12 @@
 	one.ended <- err
 	must.StrContains(t, one.log.String(), `"msg":"stopped"`)
 	readiness := regexp.MustCompile(`"msg":"(ready|not ready)"`).FindAllStringSubmatch(one.log.String(), -1)
-	must.Len(t, 3, readiness) // at the start, with the first view, and when it stops
-	must.Eq(t, []string{"not ready", "ready", "not ready"}, []string{readiness[0][1], readiness[1][1], readiness[2][1]})
+	// At the start, with a view from a copy, with the present one, and when it stops.
+	must.Len(t, 4, readiness)
+	for n, want := range []string{"not ready", "not ready", "ready", "not ready"} {
+		must.Eq(t, want, readiness[n][1])
+	}
+	must.StrContains(t, one.log.String(), `"reason":"unconfirmed_view"`)
 }
 
 // Guards against SIGHUP ending the process, and against bad settings that take hold.
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -112,6 +112,8 @@
 	// held are packets that came before the view was complete.
 	held     [][]byte
 	stopping bool
+	// confirmed tells that the view was the store's present state at some time.
+	confirmed bool
 	// unready is why the instance was not ready when that was last logged.
 	unready []string
 }
@@ -248,12 +250,29 @@
 	if i.stopping {
 		reasons = append(reasons, "stopping")
 	}
-	if !i.forward.View.Complete() {
+	switch {
+	case !i.forward.View.Complete():
 		reasons = append(reasons, "no_view")
+	case !i.viewConfirmed():
+		reasons = append(reasons, "unconfirmed_view")
 	}
 	return reasons
 }
 
+// viewConfirmed reports whether the view was ever the store's present state. The first
+// view may come from an old copy: a target that has left since would be in use again. It
+// serves those packets that come nevertheless, but the instance asks for none on its
+// strength, unless nothing better comes. The caller holds Instance.mu.
+func (i *Instance) viewConfirmed() bool {
+	if i.confirmed {
+		return true
+	}
+	now, v := i.now(), i.forward.View
+	oldest := now - min(v.ConfigFreshAt, v.TargetsFreshAt)
+	i.confirmed = oldest <= i.timing.Forwarding.RouteCertain || now >= i.timing.ReadStoreAfter
+	return i.confirmed
+}
+
 // noteReadiness logs a change of the readiness. The caller holds Instance.mu.
 func (i *Instance) noteReadiness() {
 	reasons := i.notReady()
@@ -289,6 +308,7 @@
 	i.mu.Lock()
 	resets := i.forward.Tick(now)
 	i.counters.flows.Update(float64(i.forward.Flows()))
+	i.noteReadiness()
 	i.mu.Unlock()
 	for _, r := range resets {
 		i.sendReset(r)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -119,6 +119,7 @@
 	if u.First {
 		k.floor = l.Version
 		k.log, k.logFloor = nil, l.Version
+		k.freshAt = min(now-l.Age, now) // may lie before the start of the process
 	}
 	k.listed = true
 	r.advance(k, l.Version, min(now-l.Age, now), len(u.Objects) > 0 || u.First)
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -173,3 +173,15 @@
 	done(p, listing(25), nil)
 	must.Eq(t, 25, p.Next("k").Version)
 }
+
+// Guards against a first list from an old copy that counts as the state at the start of
+// the process.
+func TestFirstListKeepsItsAge(t *testing.T) {
+	r := New("k")
+	l := listing(10, object("k/a", 4))
+	l.Age = 10 * time.Second
+	r.List(time.Second, "k", l)
+	age, listed := r.Age(2*time.Second, "k")
+	must.True(t, listed)
+	must.Eq(t, 11*time.Second, age)
+}
