--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -74,7 +74,6 @@
 			{Key: "stable_window_ms", Set: span(&d.StableWindow, time.Millisecond, 500*time.Millisecond, time.Hour)},
 			{Key: "heartbeat_ms", Set: span(&d.Heartbeat, time.Millisecond, 50*time.Millisecond, time.Minute)},
 			{Key: "max_flow_s", Set: span(&d.MaxFlow, time.Second, time.Second, 24*time.Hour)},
-			{Key: "recovery_s", Set: span(&d.Recovery, time.Second, time.Second, time.Hour)},
 		},
 		"peers": {{Key: "seeds", Set: addresses(&s.Seeds)}},
 		"limits": {
--- a/internal/edge/timing.go
+++ b/internal/edge/timing.go
@@ -23,8 +23,6 @@
 	Heartbeat time.Duration
 	// MaxFlow is the longest life of a flow.
 	MaxFlow time.Duration
-	// Recovery is how soon traffic has to be served again after the end of all processes.
-	Recovery time.Duration
 	// History is how long the store keeps the changes that a watch can go back to.
 	History time.Duration
 	// ReadsPerSecond is how many reading calls the store grants to all instances.
@@ -36,7 +34,7 @@
 	return Deployment{
 		StopGrace: 6 * time.Second, ConfigBound: 3 * time.Second, DrainBound: 3 * time.Second,
 		StableWindow: 4 * time.Second, Heartbeat: 1200 * time.Millisecond, MaxFlow: time.Minute,
-		Recovery: 12 * time.Second, History: 20 * time.Second, ReadsPerSecond: 2000,
+		History: 20 * time.Second, ReadsPerSecond: 2000,
 	}
 }
 
--- a/internal/edge/timing_test.go
+++ b/internal/edge/timing_test.go
@@ -33,7 +33,7 @@
 		"the users' first deployments": DefaultDeployment(),
 		"the large deployment": deployment(func(d *Deployment) {
 			d.ConfigBound, d.DrainBound, d.StableWindow = 6*time.Second, 6*time.Second, 6*time.Second
-			d.Recovery, d.ReadsPerSecond = 15*time.Second, 16_000
+			d.ReadsPerSecond = 16_000
 		}),
 		"3 s to stop":      deployment(func(d *Deployment) { d.StopGrace = 3 * time.Second }),
 		"2 s to stop":      deployment(func(d *Deployment) { d.StopGrace = 2 * time.Second }),
