--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -64,7 +64,7 @@
 		now := i.now()
 		rest := i.freshFor(now)
 		switch {
-		case !i.allListed() && i.awaitsParent(now):
+		case !i.allListed() && i.awaitsParent(now, i.timing.ReadStoreAfter):
 			sleep(ctx, retryPause)
 		case !i.allListed():
 			if addr, ok := i.registry.other(now); ok {
--- a/internal/edge/reading.go
+++ b/internal/edge/reading.go
@@ -32,7 +32,7 @@
 	fleetPages = 500
 	// noPageLimit lets a list have any length.
 	noPageLimit = math.MaxInt
-	// firstPause is the pause between checks while that time runs.
+	// firstPause is the pause between looks for a parent until the instances are known.
 	firstPause = 5 * time.Millisecond
 	// idlePause is the pause before a source that is not needed is considered again.
 	idlePause = 500 * time.Millisecond
@@ -124,9 +124,10 @@
 	i.log.Event(viewClass, message, logrus.Fields{logfield.Kind: kind, logfield.Source: storeSource, logfield.Error: err.Error()})
 }
 
-// awaitsParent reports whether what was not listed yet is expected from the parent.
-func (i *Instance) awaitsParent(now time.Duration) bool {
-	return i.leftToParent.Load() && now < i.timing.ReadStoreAfter && !i.registry.isReader(now)
+// awaitsParent reports whether what was not listed yet is expected from the parent, up to
+// the age staleAfter of this instance.
+func (i *Instance) awaitsParent(now, staleAfter time.Duration) bool {
+	return i.leftToParent.Load() && now < staleAfter && !i.registry.isReader(now)
 }
 
 // allListed reports whether something is known of each kind.
@@ -157,7 +158,7 @@
 	now := i.now()
 	age, ok := i.replica.Age(now, kind)
 	if !ok {
-		return !i.awaitsParent(now)
+		return !i.awaitsParent(now, staleAfter)
 	}
 	if i.registry.isReader(now) {
 		return true
@@ -221,7 +222,7 @@
 	for name, e := range map[string]error{
 		"expired": objectstore.ErrExpired, "unavailable": objectstore.ErrUnavailable,
 		"not_found": objectstore.ErrNotFound, "conflict": objectstore.ErrConflict, "unknown": objectstore.ErrUnknown,
-		"silent": replica.ErrSilent,
+		"silent": replica.ErrSilent, "too_long": objectstore.ErrTooLong,
 	} {
 		if errors.Is(err, e) {
 			return name
