request: use a connection again only if the target names its answers

A target that sends a second copy of an answer, late, on a connection that is in use again gave the next caller an answer that was not its own, where the target does not name the request in its answers: an answer without names counted as matching. A target's connections are used again only while its answers name service, request and attempt; on such a connection an answer without names is not accepted.

An answer of "not run" without names, from a target that named its answer before, is unknown now, since it may be a copy as well.

--- a/internal/request/client.go
+++ b/internal/request/client.go
@@ -12,6 +12,7 @@
 	"net/url"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -33,6 +34,10 @@
 	addr   netip.AddrPort
 	recent *http.Transport // idle for less than Limits.RecentUse
 	idle   *http.Transport
+	// named tells that the target's last answer named its service, request and attempt.
+	// Only then is a connection used again: without the names, a late second copy of an
+	// answer can't be told from the answer to the next request.
+	named atomic.Bool
 }
 
 func newClient(l Limits) *client { return &client{limits: l, pools: map[target.ID]*pool{}} }
@@ -94,14 +99,19 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	timer := time.AfterFunc(c.limits.AttemptTimeout, func() { cancel(errAttemptTimeout) })
-	resp, err := p.transport(a.fresh).RoundTrip(newRequest(httptrace.WithClientTrace(ctx, use.trace()), p.addr, a))
+	req := newRequest(httptrace.WithClientTrace(ctx, use.trace()), p.addr, a)
+	named := p.named.Load()
+	req.Close = !named
+	resp, err := p.transport(a.fresh).RoundTrip(req)
 	if err != nil {
 		return c.failed(ctx, p, &use, err), nil
 	}
 	// An expired timer has canceled ctx; the body read below then fails.
 	timer.Stop()
 	defer resp.Body.Close()
-	if !echoMatches(resp.Header, a.key) {
+	names := answerNames(resp.Header, a.key)
+	p.named.Store(names == allNamed)
+	if names == otherNamed || named && names != allNamed {
 		use.close()
 		return lost(dispatch.AnswerCrossed), nil
 	}
@@ -152,16 +162,35 @@
 	return r, true
 }
 
-// echoMatches reports whether the answer names no other service, request or attempt.
-func echoMatches(h http.Header, k dispatch.Key) bool {
-	return echo(h, HeaderService, string(k.Service)) &&
-		echo(h, HeaderRequest, strconv.FormatUint(uint64(k.Request), 10)) &&
-		echo(h, HeaderAttempt, strconv.FormatUint(uint64(k.Attempt), 10))
-}
+// answerNaming tells how far an answer names the request that it belongs to.
+type answerNaming int
+
+const (
+	// someNamed: nothing in the answer contradicts the request.
+	someNamed answerNaming = iota
+	// allNamed: the answer names the request's service, number and attempt.
+	allNamed
+	// otherNamed: the answer belongs to another request.
+	otherNamed
+)
 
-func echo(h http.Header, name, want string) bool {
-	got := h.Get(name)
-	return got == "" || got == want
+// answerNames compares the names in an answer with those of its request.
+func answerNames(h http.Header, k dispatch.Key) answerNaming {
+	found := allNamed
+	for name, want := range map[string]string{
+		HeaderService: string(k.Service),
+		HeaderRequest: strconv.FormatUint(uint64(k.Request), 10),
+		HeaderAttempt: strconv.FormatUint(uint64(k.Attempt), 10),
+	} {
+		switch h.Get(name) {
+		case want:
+		case "":
+			found = someNamed
+		default:
+			return otherNamed
+		}
+	}
+	return found
 }
 
 func (c *client) readAnswer(ctx context.Context, p *pool, use *connUse, resp *http.Response, method string) (dispatch.Result, *idempotency.Answer) {
--- a/internal/request/request_test.go
+++ b/internal/request/request_test.go
@@ -73,6 +73,49 @@
 	}
 }
 
+// Load pattern: a target sends a second copy of an answer, late, when the connection is in
+// use again. Guards against the next caller getting it, from a target that names its
+// answers and from one that does not.
+func TestSecondCopyOfAnAnswer(t *testing.T) {
+	answer := func(r *http.Request, named bool, body string) string {
+		head := "HTTP/1.1 200 OK\r\n"
+		if named {
+			for _, name := range []string{HeaderService, HeaderRequest, HeaderAttempt} {
+				head += name + ": " + r.Header.Get(name) + "\r\n"
+			}
+		}
+		return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	}
+	for _, named := range []bool{true, false} {
+		var mu sync.Mutex
+		former := map[int]string{}
+		target := raw(t, func(conn, _ int, r *http.Request) (string, bool) {
+			mu.Lock()
+			defer mu.Unlock()
+			own := answer(r, named, r.URL.Path)
+			out := former[conn] + own
+			former[conn] = own
+			return out, true
+		})
+		_, s := one(t, nil, 2, target)
+		served := 0
+		for n := range 10 {
+			path := fmt.Sprintf("/%d", n)
+			r := call(t, s, "POST", path, "")
+			if r.outcome == "" {
+				served++
+				must.Eq(t, path, r.body, must.Sprintf("named %v", named))
+			} else {
+				must.Eq(t, "unknown", r.outcome)
+			}
+		}
+		must.Positive(t, served)
+		if !named {
+			must.Eq(t, 10, served)
+		}
+	}
+}
+
 // Guards against answers that belong to another request on the same connection.
 func TestCrossedAnswer(t *testing.T) {
 	wrong := raw(t, func(_, _ int, _ *http.Request) (string, bool) {
