--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -10,6 +10,8 @@
 	"net/netip"
 	"regexp"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -314,6 +316,43 @@
 	must.StrContains(t, one.log.String(), `"reason":"unconfirmed_view"`)
 }
 
+// Load pattern: a planned stop under load. The routers go on sending packets until two of
+// their checks have failed. Guards against flows that were opened in that time, or requests
+// on them, being cut off without an answer.
+func TestStopUnderLoad(t *testing.T) {
+	const (
+		callers       = 8
+		routersNotice = time.Second // two checks, half a second apart
+	)
+	s := newSite(t)
+	s.target("i-a1", 0xa1)
+	one := s.start(1, s.store.Addr())
+	one.awaitReady()
+	c := s.client(one)
+	stopped := time.Now()
+	one.stop()
+	var all sync.WaitGroup
+	var served, failed atomic.Int64
+	for range callers {
+		all.Go(func() {
+			for time.Since(stopped) < routersNotice {
+				if _, err := ask(t, c, booking); err != nil {
+					failed.Add(1)
+					return
+				}
+				served.Add(1)
+			}
+		})
+	}
+	all.Wait()
+	must.Eq(t, 0, failed.Load())
+	must.Positive(t, served.Load())
+	err := <-one.ended
+	must.NoError(t, err)
+	one.ended <- err
+	must.Less(t, one.settings.Deployment.StopGrace, time.Since(stopped))
+}
+
 // Guards against SIGHUP ending the process, and against bad settings that take hold.
 func TestReload(t *testing.T) {
 	s := newSite(t)
