soak: a SIGTERM before the process listens may end it

Its log has no line of the process that ended. Such a process has bound no address, so that nothing is cut.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -99,11 +100,25 @@
 	case syscall.SIGTERM:
 		if i.expected == "" {
 			i.expected = "terminated"
+			if !i.listens() {
+				i.expected = "terminated before it served" // by the signal itself
+			}
 		}
 	}
 	_ = i.cmd.Process.Signal(s) // the process may have ended
 }
 
+// listens reports whether the process has come so far in its start that it serves. Before
+// that a signal may end it at once.
+func (i *instance) listens() bool {
+	c, err := net.DialTimeout("tcp", i.ready.String(), time.Second)
+	if err != nil {
+		return false
+	}
+	_ = c.Close() // nothing was written
+	return true
+}
+
 // stop ends the process for good.
 func (i *instance) stop() {
 	i.mu.Lock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -33,7 +33,7 @@
 	cause string
 }{
 	{4, lapseTold}, {21, lapseTold}, {22, lapseTold}, {37, lapseTold}, {38, lapseTold}, {39, lapseTold},
-	{151, removedMeanwhile}, {152, ownPause},
+	{151, removedMeanwhile}, {152, ownPause}, {625, earlyStop},
 }
 
 // removedMeanwhile was a fault of the soak: a route was removed while a flow to it
@@ -44,6 +44,10 @@
 // lapsed, and took the silence for the target's end.
 const ownPause = "silence of the instance's own pause taken for the target's"
 
+// earlyStop was a fault of the soak: SIGTERM came so early in a process's start that the
+// process had bound no address yet, and ended by the signal.
+const earlyStop = "SIGTERM before the process listened"
+
 // lapseTold: a watch that was waiting told of entries that lapsed while the store
 // refused other calls, and open flows of their living targets were reset.
 const lapseTold = "lapsed entries told by a waiting watch, no outage noticed"
