--- a/internal/replica/bench_test.go
+++ b/internal/replica/bench_test.go
@@ -25,7 +25,7 @@
 
 func target(n int, version objectstore.Version) objectstore.Object {
 	value := fmt.Sprintf(`{"service":"s%d","address":"10.%d.%d.%d:8303","zone":"kandy-a","version":"v1","slots":2,"state":"ready",`+
-		`"warmupLeftMs":0,"sequence":%d,"born":17648200%d}`, n%7, n>>16, n>>8&255, n&255, version, n)
+		`"warm":0,"number":%d,"start":17648200%d}`, n%7, n>>16, n>>8&255, n&255, version, n)
 	return objectstore.Object{Key: fmt.Sprintf("targets/i-%08x", n*2654435761%(1<<32)), Version: version, Value: []byte(value)}
 }
 
