replica, platform: lists in CBOR, entries decoded field by field, a changed target costs itself alone

Profiles of the benchmarks name JSON: base64 of the shared list is encoded and checked again for each follower, values are escaped in values, and entries are decoded by reflection.

Ruled out: packets, the comparison between data centres, sorting.

The stream has the path /v3/follow.

--- a/internal/edge/adopt.go
+++ b/internal/edge/adopt.go
@@ -52,9 +52,6 @@
 		if u.First {
 			i.forward.View.MarkListed()
 		}
-		if len(u.Objects) > 0 {
-			i.forward.TargetsChanged()
-		}
 	case i.platform.InstanceKind:
 		i.forward.SetInstances(i.registry.zoneSize())
 	}
@@ -121,13 +118,12 @@
 		return
 	}
 	i.metrics.Counter(metric.EdgeChanges, string(change)).Inc(1)
-	fields := logrus.Fields{
-		logfield.Target: name, logfield.Change: string(change), logfield.Source: source, logfield.Version: uint64(o.Version),
-	}
+	record := &changeRecord{target: name, change: change, source: source, version: uint64(o.Version)}
 	if t != nil {
-		fields[logfield.Service], fields[logfield.Zone], fields[logfield.Address] = string(t.Service), t.Zone, t.Addr.String()
+		i.forward.TargetChanged(t)
+		record.service, record.zone, record.addr = t.Service, t.Zone, t.Addr
 	}
-	i.log.Event(viewClass, "target", fields)
+	i.log.Add(viewClass, record)
 }
 
 func (i *Instance) unreadable(kind, name string, err error) {
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -451,7 +451,7 @@
 			c, err := d.Dial("tcp", addr.String())
 			must.NoError(t, err)
 			t.Cleanup(func() { _ = c.Close() })
-			_, _ = c.Write([]byte("GET /v2/fol")) // it may be closed already
+			_, _ = c.Write([]byte("GET /v3/fol")) // it may be closed already
 		}
 		eventually(t, "rejections at "+listener, func() bool {
 			count := regexp.MustCompile(`guavaloom_connections_rejected_total\{listener="` + listener + `"\} (\d+)`).FindStringSubmatch(one.metrics())
--- a/internal/edge/report.go
+++ b/internal/edge/report.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"net/netip"
 	"strings"
 	"time"
 
@@ -11,6 +12,8 @@
 	"guavaloom.example/guavaloom/internal/forwarding"
 	"guavaloom.example/guavaloom/internal/logfield"
 	"guavaloom.example/guavaloom/internal/metric"
+	"guavaloom.example/guavaloom/internal/service"
+	"guavaloom.example/guavaloom/internal/view"
 )
 
 // Classes of log lines, with their limits in lines a second. An instance at the
@@ -66,6 +69,32 @@
 	}
 }
 
+// changeRecord is the log line of a change of a target. The first list of a large fleet
+// brings thousands at once.
+type changeRecord struct {
+	target, source string
+	change         view.Change
+	version        uint64
+	// service, zone and addr are those of a target that is known.
+	service service.ID
+	zone    string
+	addr    netip.AddrPort
+}
+
+// Encode implements eventlog.Record.
+func (r *changeRecord) Encode(l *eventlog.Line) {
+	l.Message("target")
+	l.Text(logfield.Target, r.target)
+	l.Text(logfield.Change, string(r.change))
+	l.Text(logfield.Source, r.source)
+	l.Number(logfield.Version, int64(r.version))
+	if r.addr.IsValid() {
+		l.Text(logfield.Service, string(r.service))
+		l.Text(logfield.Zone, r.zone)
+		l.Text(logfield.Address, r.addr.String())
+	}
+}
+
 // counters are the metrics of the packet path.
 type counters struct {
 	set      *metric.Set
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -1,6 +1,7 @@
 package forwarding
 
 import (
+	"slices"
 	"time"
 
 	"guavaloom.example/guavaloom/internal/service"
@@ -122,23 +123,36 @@
 	return l.report(0), l.suspect(now)
 }
 
-// TargetsChanged adopts the view's set of targets. It must be called after a
-// target was added to the view or removed from it.
-func (f *Forwarder) TargetsChanged() {
-	clear(f.services)
-	known := make(map[target.ID]bool, len(f.loads))
-	f.View.Targets(func(t *view.Target) {
-		known[t.ID] = true
-		l := f.loads[t.ID]
-		if l == nil {
-			l = &load{}
-			f.loads[t.ID] = l
-		}
-		l.adopt(t)
+// TargetChanged adopts what changed of a target in the view. It must be called after each
+// change, and looks at that target alone: a fleet of thousands changes many times a second.
+func (f *Forwarder) TargetChanged(t *view.Target) {
+	l := f.loads[t.ID]
+	if l == nil {
+		l = &load{}
+		f.loads[t.ID] = l
+	}
+	if l.target == nil || l.service != t.Service {
+		f.unlist(l)
 		f.services[t.Service] = append(f.services[t.Service], l)
-	})
-	for id := range f.loads {
-		if !known[id] {
+	}
+	l.adopt(t)
+}
+
+// unlist takes a target out of the list of its service.
+func (f *Forwarder) unlist(l *load) {
+	list := slices.DeleteFunc(f.services[l.service], func(o *load) bool { return o == l })
+	if len(list) == 0 {
+		delete(f.services, l.service)
+		return
+	}
+	f.services[l.service] = list
+}
+
+// dropForgotten drops the targets that the view has forgotten.
+func (f *Forwarder) dropForgotten() {
+	for id, l := range f.loads {
+		if f.View.Target(id) == nil {
+			f.unlist(l)
 			delete(f.loads, id)
 		}
 	}
@@ -417,7 +431,7 @@
 		}
 	}
 	if f.View.Forget(now) {
-		f.TargetsChanged()
+		f.dropForgotten()
 	}
 	for token, since := range f.unknown {
 		if now >= since+defaultIdleTimeout {
--- a/internal/forwarding/forwarder_test.go
+++ b/internal/forwarding/forwarder_test.go
@@ -64,15 +64,16 @@
 
 func (b *bed) put(now time.Duration, e view.TargetEntry) {
 	b.version++
-	b.View.Put(now, e, b.version)
-	b.TargetsChanged()
+	if t, change := b.View.Put(now, e, b.version); change != view.Unchanged {
+		b.TargetChanged(t)
+	}
 }
 
 func (b *bed) remove(now time.Duration, id target.ID) {
 	b.version++
-	b.View.Remove(now, id, b.version)
+	t, _ := b.View.Remove(now, id, b.version)
 	b.View.TargetsFreshAt = now
-	b.TargetsChanged()
+	b.TargetChanged(t)
 }
 
 // sure is longer than a removed entry may take to come back.
@@ -117,6 +118,30 @@
 	}
 }
 
+// Load pattern: targets of a large fleet change many times a second. Guards against a
+// target that stays among those of the service that it served before, or is listed twice,
+// and against one that is still chosen after it was forgotten.
+func TestChangedTargetIsListedOnce(t *testing.T) {
+	b := newBed()
+	b.put(0, b.entry("i-1", "booking", "a"))
+	b.put(0, b.entry("i-2", "booking", "a"))
+	b.put(ms, b.entry("i-1", "booking", "a"))
+	must.Len(t, 2, b.services["booking"])
+	b.put(2*ms, b.entry("i-1", "proofing", "a"))
+	must.Len(t, 1, b.services["booking"])
+	must.Len(t, 1, b.services["proofing"])
+	for n := range 5 {
+		must.Eq(t, "i-2", b.syn(3*ms, flowTo(bookingAddr, n), 0).Target.ID)
+	}
+	b.remove(4*ms, "i-1")
+	must.Len(t, 1, b.services["proofing"]) // it may come back
+	b.Tick(time.Hour)
+	must.MapNotContainsKey(t, b.services, "proofing")
+	must.MapNotContainsKey(t, b.loads, "i-1")
+	b.put(time.Hour, b.entry("i-1", "booking", "a"))
+	must.Len(t, 2, b.services["booking"])
+}
+
 // Load pattern: a target ends without notice while flows are opened. Guards
 // against a client that waits for it three times, and against further clients that
 // are sent there.
--- a/internal/forwarding/load.go
+++ b/internal/forwarding/load.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"guavaloom.example/guavaloom/internal/service"
 	"guavaloom.example/guavaloom/internal/view"
 )
 
@@ -36,6 +37,8 @@
 // load is what this instance has seen of a target.
 type load struct {
 	target *view.Target
+	// service is the one in whose list it is.
+	service service.ID
 	// incarnation is that of the target's run which the rest was seen of.
 	incarnation int64
 	// opening, open and busy count flows: first packets without an answer, open
@@ -85,7 +88,7 @@
 	if l.target != nil && l.incarnation != t.Incarnation {
 		l.silent, l.avoidFor, l.avoidUntil, l.latency, l.heardAt, l.failing = false, 0, 0, 0, 0, 0
 	}
-	l.target, l.incarnation = t, t.Incarnation
+	l.target, l.service, l.incarnation = t, t.Service, t.Incarnation
 }
 
 // heard records a sign of life and reports whether it ended a suspicion.
--- a/internal/replica/delta.go
+++ b/internal/replica/delta.go
@@ -22,16 +22,18 @@
 // Delta tells the value of an object by what it shares with the value of an earlier
 // version.
 type Delta struct {
-	Key           string
-	Version, Base objectstore.Version
-	Parts         []Part
+	Key     string              `cbor:"1,keyasint"`
+	Version objectstore.Version `cbor:"2,keyasint"`
+	Base    objectstore.Version `cbor:"3,keyasint"`
+	Parts   []Part              `cbor:"4,keyasint,omitempty"`
 }
 
 // Part is a run of bytes of a value: Len bytes of the earlier value from the offset
 // From, then Text.
 type Part struct {
-	From, Len int    `json:",omitempty"`
-	Text      []byte `json:",omitempty"`
+	From int    `cbor:"1,keyasint,omitempty"`
+	Len  int    `cbor:"2,keyasint,omitempty"`
+	Text []byte `cbor:"3,keyasint,omitempty"`
 }
 
 // diff returns the parts that make value out of base.
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
 	"guavaloom.example/guavaloom/internal/objectstore"
@@ -68,7 +68,7 @@
 		return errors.Wrapf(objectstore.ErrUnavailable, "status %d", resp.StatusCode)
 	}
 	body := &progress{Reader: resp.Body, silence: r.Silence, last: asked, made: func() { watchdog.Reset(r.Silence) }}
-	dec := json.NewDecoder(body)
+	dec := cbor.NewDecoder(body)
 	for first := true; ; first = false {
 		body.left, body.begin = maxMessage, true
 		var line envelope
--- a/internal/replica/follow_test.go
+++ b/internal/replica/follow_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/http/httptrace"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -127,7 +128,9 @@
 // sends nothing more.
 func TestSilentSourceIsLeft(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		_, _ = w.Write([]byte("{}\n"))
+		beat, err := encode(nil, nil)
+		must.NoError(t, err)
+		_, _ = w.Write(beat)
 		must.NoError(t, http.NewResponseController(w).Flush())
 		<-req.Context().Done()
 	}))
@@ -144,8 +147,9 @@
 // Guards against an age that is wrong by years where two messages come in one read.
 func TestMessagesThatArriveTogether(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		line := `{"Frames":[{"Kind":"k","Version":7,"Age":5000000}]}` + "\n"
-		_, _ = w.Write([]byte(line + line))
+		line, err := encode(nil, []Frame{{Kind: "k", Listing: objectstore.Listing{Version: 7, Age: 5 * time.Millisecond}}})
+		must.NoError(t, err)
+		_, _ = w.Write(slices.Concat(line, line))
 		must.NoError(t, http.NewResponseController(w).Flush())
 		<-req.Context().Done()
 	}))
@@ -192,21 +196,21 @@
 	r := New("k")
 	r.List(0, "k", listing(10, object("k/a", 4), object("k/b", 5)))
 	s := newServer(r, stream, still, make(chan struct{}))
-	tell := func() envelope {
-		var e envelope
-		must.NoError(t, s.tellKind(&cursor{kind: "k"}, &e))
-		return e
+	tell := func() ([]packedFrame, []Frame) {
+		lists, frames, err := s.tellKind(&cursor{kind: "k"})
+		must.NoError(t, err)
+		return lists, frames
 	}
-	first := tell()
-	must.Len(t, 1, first.Lists)
-	must.SliceEmpty(t, first.Frames)
+	first, frames := tell()
+	must.Len(t, 1, first)
+	must.SliceEmpty(t, frames)
 	r.Events(0, "k", listing(12, object("k/c", 11), removed("k/a", 12)))
-	second := tell()
-	must.Len(t, 1, second.Lists)
-	must.Eq(t, &first.Lists[0].Packed[0], &second.Lists[0].Packed[0]) // the same bytes
-	must.Len(t, 1, second.Frames)
-	must.Eq(t, []objectstore.Object{object("k/c", 11), removed("k/a", 12)}, second.Frames[0].Objects)
-	must.False(t, second.Frames[0].Full)
+	second, frames := tell()
+	must.Len(t, 1, second)
+	must.Eq(t, &first[0].Packed[0], &second[0].Packed[0]) // the same bytes
+	must.Len(t, 1, frames)
+	must.Eq(t, []objectstore.Object{object("k/c", 11), removed("k/a", 12)}, frames[0].Objects)
+	must.False(t, frames[0].Full)
 }
 
 // Load pattern: all instances start from copies of the store that are not equally old.
--- a/internal/replica/frame.go
+++ b/internal/replica/frame.go
@@ -25,7 +25,7 @@
 
 // Message is what is sent at a time. One without frames shows that the sender lives.
 type Message struct {
-	Frames []Frame `json:",omitempty"`
+	Frames []Frame
 }
 
 // frame returns what a follower that holds a version has to be told, and the news
--- a/internal/replica/fuzz_test.go
+++ b/internal/replica/fuzz_test.go
@@ -1,13 +1,13 @@
 package replica
 
 import (
-	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/shoenig/test/must"
 
 	"guavaloom.example/guavaloom/internal/objectstore"
@@ -16,21 +16,27 @@
 // Guards against a message of another instance that takes the process down, uses up
 // its memory or takes a version back.
 func FuzzMessage(f *testing.F) {
-	packed, err := encode(envelope{Message: Message{Frames: []Frame{{Kind: "k", Full: true, Listing: listing(9, object("k/a", 4))}}}})
+	packed, err := encode(nil, []Frame{{Kind: "k", Full: true, Listing: listing(9, object("k/a", 4))}})
 	must.NoError(f, err)
 	f.Add(packed)
 	list, err := pack(Frame{Kind: "k", Full: true, Listing: listing(9, object("k/a", 4))})
 	must.NoError(f, err)
-	shared, err := encode(envelope{Lists: []packedFrame{{list, time.Second}}})
+	shared, err := encode([]packedFrame{{list, time.Second}}, nil)
 	must.NoError(f, err)
 	f.Add(shared)
-	f.Add([]byte(`{"Frames":[{"Kind":"k","Version":7,"Age":-5,"Deltas":[{"Key":"k/a","Version":5,"Base":4,"Parts":[{"From":0,"Len":1},{"Text":"eA=="}]}]}]}`))
-	f.Add([]byte(`{"Frames":[{"Kind":"other"}],"Packed":"H4sIAAAAAAAA"}`))
+	changes, err := encode(nil, []Frame{{Kind: "k", Listing: objectstore.Listing{Version: 7, Age: -5}, Deltas: []Delta{{
+		Key: "k/a", Version: 5, Base: 4, Parts: []Part{{From: 0, Len: 1}, {Text: []byte("x")}},
+	}}}})
+	must.NoError(f, err)
+	f.Add(changes)
+	damaged, err := cbor.Marshal(envelope{Frames: []wireFrame{{Kind: "other"}}, Packed: []byte{0x1f, 0x8b, 8, 0, 0, 0}})
+	must.NoError(f, err)
+	f.Add(damaged)
 	f.Fuzz(func(t *testing.T, text []byte) {
 		r := New("k")
 		r.List(time.Second, "k", listing(3, object("k/a", 2), object("k/b", 3)))
 		var line envelope
-		if json.Unmarshal(text, &line) != nil {
+		if cbor.Unmarshal(text, &line) != nil {
 			return
 		}
 		m, err := line.open()
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -15,7 +15,7 @@
 
 const (
 	// followPath is the path of the call by which instances follow a replica.
-	followPath = "/v2/follow"
+	followPath = "/v3/follow"
 	// slowestLink is the rate in bytes a second at which a follower must take a
 	// message: a tenth of the users' slowest link.
 	slowestLink = 125_000
@@ -38,7 +38,7 @@
 }
 
 // server tells followers what the replica holds and each change of it, in messages
-// of JSON lines, until stop is closed.
+// of CBOR, until stop is closed.
 type server struct {
 	replica *Replica
 	timing  StreamTiming
@@ -151,14 +151,17 @@
 		return errStopping
 	default:
 	}
-	var e envelope
+	var lists []packedFrame
+	var frames []Frame
 	for _, c := range cursors {
-		if err := s.tellKind(c, &e); err != nil {
+		l, f, err := s.tellKind(c)
+		if err != nil {
 			return err
 		}
+		lists, frames = append(lists, l...), append(frames, f...)
 	}
 	bytes := int64(0)
-	for _, l := range e.Lists {
+	for _, l := range lists {
 		bytes += int64(len(l.Packed))
 	}
 	bytes = min(bytes, maxListBytes)
@@ -166,32 +169,36 @@
 		return errManyLists
 	}
 	defer s.sending.Release(bytes)
-	return s.write(w, e)
+	text, err := encode(lists, frames)
+	if err != nil {
+		return errors.Wrap(err, "message")
+	}
+	return s.write(w, text)
 }
 
-// tellKind adds what is new of one kind to a message.
-func (s *server) tellKind(c *cursor, e *envelope) error {
+// tellKind returns what is new of one kind: its list for a follower that holds nothing of
+// it, and the changes since, if there are any.
+func (s *server) tellKind(c *cursor) (lists []packedFrame, frames []Frame, err error) {
 	if c.told && !s.replica.hasNews(c.kind, c.news) {
-		return nil
+		return nil, nil, nil
 	}
 	if c.after == 0 {
 		l, err := s.list(c.kind)
 		if err != nil {
-			return err
+			return nil, nil, err
 		}
-		e.Lists = append(e.Lists, packedFrame{Packed: l.packed, Waited: s.now() - l.at})
+		lists = append(lists, packedFrame{Packed: l.packed, Waited: s.now() - l.at})
 		c.told, c.after, c.news = true, l.version, l.news
 		if !s.replica.hasNews(c.kind, c.news) {
-			return nil
+			return lists, nil, nil
 		}
 	}
 	f, news, err := s.replica.frame(s.now(), c.kind, c.after)
 	if err != nil {
-		return refusal(err)
+		return nil, nil, refusal(err)
 	}
 	c.told, c.after, c.news = true, f.Version, news
-	e.Frames = append(e.Frames, f)
-	return nil
+	return lists, append(frames, f), nil
 }
 
 // list returns the list of a kind as it is sent. Followers that start at the same time
@@ -225,11 +232,7 @@
 }
 
 // write sends a message; it fails if the follower does not take it in time.
-func (s *server) write(w http.ResponseWriter, e envelope) error {
-	text, err := encode(e)
-	if err != nil {
-		return errors.Wrap(err, "message")
-	}
+func (s *server) write(w http.ResponseWriter, text []byte) error {
 	out := http.NewResponseController(w)
 	limit := s.timing.Silence + time.Duration(len(text))*time.Second/slowestLink
 	if err := out.SetWriteDeadline(time.Now().Add(limit)); err != nil {
--- a/internal/replica/wire.go
+++ b/internal/replica/wire.go
@@ -3,11 +3,10 @@
 import (
 	"bytes"
 	"compress/gzip"
-	"encoding/json"
 	"io"
 	"time"
-	"unicode/utf8"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
 
 	"guavaloom.example/guavaloom/internal/objectstore"
@@ -21,98 +20,106 @@
 // maxPacked bounds the lists of a message, one a kind.
 const maxPacked = 16
 
-// wireFrame is a Frame as it is sent.
-type wireFrame struct {
-	Kind        string
-	Full        bool `json:",omitempty"`
-	Version     objectstore.Version
-	Age         time.Duration `json:",omitempty"`
-	SinceOutage time.Duration `json:",omitempty"`
-	Objects     []wireObject  `json:",omitempty"`
-	Count       int           `json:",omitempty"`
-	Deltas      []Delta       `json:",omitempty"`
-}
-
-// wireObject is an object as it is sent: its value as text if it is UTF-8, which JSON
-// is and which takes less than base64.
-type wireObject struct {
-	Key     string
-	Version objectstore.Version
-	Text    string `json:",omitempty"`
-	Value   []byte `json:",omitempty"`
-	Deleted bool   `json:",omitempty"`
-}
+// The types of a line of the stream, in CBOR: values go as they are, and a list that was
+// encoded once is copied into the lines of further followers.
+type (
+	// envelope is a line.
+	envelope struct {
+		// Lists go before the frames.
+		Lists  []packedFrame `cbor:"1,keyasint,omitempty"`
+		Frames []wireFrame   `cbor:"2,keyasint,omitempty"`
+		// Packed are further frames, compressed.
+		Packed []byte `cbor:"3,keyasint,omitempty"`
+	}
 
-// MarshalJSON implements json.Marshaler.
-func (f Frame) MarshalJSON() ([]byte, error) {
-	w := wireFrame{Kind: f.Kind, Full: f.Full, Version: f.Version, Age: f.Age, SinceOutage: f.SinceOutage, Count: f.Count, Deltas: f.Deltas}
-	for _, o := range f.Objects {
-		t := wireObject{Key: o.Key, Version: o.Version, Deleted: o.Deleted}
-		if utf8.Valid(o.Value) {
-			t.Text = string(o.Value)
-		} else {
-			t.Value = o.Value
-		}
-		w.Objects = append(w.Objects, t)
+	// packedFrame is a compressed frame that may have been made for an earlier follower.
+	packedFrame struct {
+		Packed []byte `cbor:"1,keyasint"`
+		// Waited is the time since the frame was made.
+		Waited time.Duration `cbor:"2,keyasint,omitempty"`
 	}
-	return json.Marshal(w)
-}
 
-// UnmarshalJSON implements json.Unmarshaler.
-func (f *Frame) UnmarshalJSON(b []byte) error {
-	var w wireFrame
-	if err := json.Unmarshal(b, &w); err != nil {
-		return err
+	wireFrame struct {
+		Kind        string              `cbor:"1,keyasint"`
+		Full        bool                `cbor:"2,keyasint,omitempty"`
+		Version     objectstore.Version `cbor:"3,keyasint"`
+		Age         time.Duration       `cbor:"4,keyasint,omitempty"`
+		SinceOutage time.Duration       `cbor:"5,keyasint,omitempty"`
+		Objects     []wireObject        `cbor:"6,keyasint,omitempty"`
+		Count       int                 `cbor:"7,keyasint,omitempty"`
+		Deltas      []Delta             `cbor:"8,keyasint,omitempty"`
 	}
-	*f = Frame{Kind: w.Kind, Full: w.Full, Count: w.Count, Deltas: w.Deltas,
-		Listing: objectstore.Listing{Version: w.Version, Age: w.Age, SinceOutage: w.SinceOutage}}
-	for _, t := range w.Objects {
-		o := objectstore.Object{Key: t.Key, Version: t.Version, Value: t.Value, Deleted: t.Deleted}
-		if t.Text != "" {
-			o.Value = []byte(t.Text)
-		}
-		f.Objects = append(f.Objects, o)
+
+	wireObject struct {
+		Key     string              `cbor:"1,keyasint"`
+		Version objectstore.Version `cbor:"2,keyasint"`
+		Value   []byte              `cbor:"3,keyasint,omitempty"`
+		Deleted bool                `cbor:"4,keyasint,omitempty"`
 	}
-	return nil
-}
+)
 
-// envelope is a line of the stream.
-type envelope struct {
-	Message
-	// Lists go before the frames.
-	Lists []packedFrame `json:",omitempty"`
-	// Packed is a whole message, compressed.
-	Packed []byte `json:",omitempty"`
+func toWire(f Frame) wireFrame {
+	w := wireFrame{Kind: f.Kind, Full: f.Full, Version: f.Version, Age: f.Age, SinceOutage: f.SinceOutage, Count: f.Count, Deltas: f.Deltas}
+	if len(f.Objects) > 0 {
+		w.Objects = make([]wireObject, len(f.Objects))
+	}
+	for n, o := range f.Objects {
+		w.Objects[n] = wireObject(o)
+	}
+	return w
 }
 
-// packedFrame is a compressed frame that may have been made for an earlier follower.
-type packedFrame struct {
-	Packed []byte
-	// Waited is the time since the frame was made.
-	Waited time.Duration `json:",omitempty"`
+func (w *wireFrame) frame() Frame {
+	f := Frame{Kind: w.Kind, Full: w.Full, Count: w.Count, Deltas: w.Deltas,
+		Listing: objectstore.Listing{Version: w.Version, Age: w.Age, SinceOutage: w.SinceOutage}}
+	if len(w.Objects) > 0 {
+		f.Objects = make([]objectstore.Object, len(w.Objects))
+	}
+	for n, o := range w.Objects {
+		f.Objects[n] = objectstore.Object(o)
+	}
+	return f
 }
 
-// encode returns the line of an envelope.
-func encode(e envelope) ([]byte, error) {
-	text, err := json.Marshal(e.Message)
+// encode returns the line that tells the frames after the lists.
+func encode(lists []packedFrame, frames []Frame) ([]byte, error) {
+	e := envelope{Lists: lists}
+	size := 0
+	for _, f := range frames {
+		e.Frames = append(e.Frames, toWire(f))
+		size += f.size()
+	}
+	if size < packAbove {
+		return cbor.Marshal(e)
+	}
+	text, err := cbor.Marshal(e.Frames)
 	if err != nil {
 		return nil, err
 	}
-	if len(text) >= packAbove {
-		if e.Packed, err = compress(text); err != nil {
-			return nil, err
-		}
-		e.Message = Message{}
+	if e.Packed, err = compress(text); err != nil {
+		return nil, err
+	}
+	e.Frames = nil
+	return cbor.Marshal(e)
+}
+
+// size returns about how many bytes a frame takes.
+func (f *Frame) size() int {
+	size := 0
+	for _, o := range f.Objects {
+		size += len(o.Key) + len(o.Value)
 	}
-	text, err = json.Marshal(e)
-	return append(text, '\n'), err
+	for _, d := range f.Deltas {
+		size += partsSize(d.Parts)
+	}
+	return size
 }
 
 // pack compresses a frame.
 func pack(f Frame) ([]byte, error) {
-	text, err := json.Marshal(f)
+	text, err := cbor.Marshal(toWire(f))
 	if err != nil {
-		return nil, err
+		return nil, errors.Wrap(err, "frame")
 	}
 	return compress(text)
 }
@@ -135,27 +142,30 @@
 	if len(e.Lists) > maxPacked {
 		return Message{}, errors.Errorf("message of %d lists, allowed are %d", len(e.Lists), maxPacked)
 	}
-	m := e.Message
-	if len(e.Packed) > 0 {
-		if err := unpack(e.Packed, &m); err != nil {
-			return Message{}, err
-		}
-	}
-	lists := make([]Frame, len(e.Lists))
-	for n, l := range e.Lists {
-		f := &lists[n]
-		if err := unpack(l.Packed, f); err != nil {
+	var m Message
+	for _, l := range e.Lists {
+		var w wireFrame
+		if err := unpack(l.Packed, &w); err != nil {
 			return Message{}, err
 		}
 		if l.Waited < 0 {
 			return Message{}, errors.Errorf("list that waited for %s", l.Waited)
 		}
-		f.Age += l.Waited
-		if f.SinceOutage > 0 {
-			f.SinceOutage += l.Waited
+		w.Age += l.Waited
+		if w.SinceOutage > 0 {
+			w.SinceOutage += l.Waited
 		}
+		m.Frames = append(m.Frames, w.frame())
+	}
+	frames := e.Frames
+	if len(e.Packed) > 0 {
+		if err := unpack(e.Packed, &frames); err != nil {
+			return Message{}, err
+		}
+	}
+	for n := range frames {
+		m.Frames = append(m.Frames, frames[n].frame())
 	}
-	m.Frames = append(lists, m.Frames...)
 	return m, nil
 }
 
@@ -169,7 +179,7 @@
 	if err != nil {
 		return errors.Wrap(err, "compressed message")
 	}
-	if err := json.Unmarshal(text, into); err != nil {
+	if err := cbor.Unmarshal(text, into); err != nil {
 		return errors.Wrap(err, "compressed message")
 	}
 	return nil
--- a/internal/replica/wire_test.go
+++ b/internal/replica/wire_test.go
@@ -1,11 +1,11 @@
 package replica
 
 import (
-	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/shoenig/test/must"
 
 	"guavaloom.example/guavaloom/internal/objectstore"
@@ -13,10 +13,10 @@
 
 func pass(t *testing.T, m Message) (got Message, size int) {
 	t.Helper()
-	line, err := encode(envelope{Message: m})
+	line, err := encode(nil, m.Frames)
 	must.NoError(t, err)
 	var e envelope
-	must.NoError(t, json.Unmarshal(line, &e))
+	must.NoError(t, cbor.Unmarshal(line, &e))
 	got, err = e.open()
 	must.NoError(t, err)
 	return got, len(line)
@@ -63,10 +63,10 @@
 func TestSharedListAges(t *testing.T) {
 	packed, err := pack(Frame{Kind: "k", Full: true, Listing: objectstore.Listing{Version: 7, Age: time.Second, SinceOutage: 2 * time.Second}})
 	must.NoError(t, err)
-	line, err := encode(envelope{Lists: []packedFrame{{packed, 300 * time.Millisecond}}, Message: Message{Frames: []Frame{{Kind: "k"}}}})
+	line, err := encode([]packedFrame{{packed, 300 * time.Millisecond}}, []Frame{{Kind: "k"}})
 	must.NoError(t, err)
 	var e envelope
-	must.NoError(t, json.Unmarshal(line, &e))
+	must.NoError(t, cbor.Unmarshal(line, &e))
 	m, err := e.open()
 	must.NoError(t, err)
 	must.Len(t, 2, m.Frames)
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -1,12 +1,10 @@
 package view
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
-	"guavaloom.example/guavaloom/internal/service"
 	"guavaloom.example/guavaloom/internal/target"
 )
 
@@ -34,19 +32,17 @@
 	routes   map[Endpoint]*Route
 	haveList bool // the targets have been listed at least once
 
-	targets  map[target.ID]*Target
-	tokens   map[uint32]*Target
-	services map[service.ID][]*Target
+	targets map[target.ID]*Target
+	tokens  map[uint32]*Target
 }
 
 // New returns a view that knows nothing.
 func New(l Limits) *View {
 	return &View{
-		limits:   l,
-		routes:   map[Endpoint]*Route{},
-		targets:  map[target.ID]*Target{},
-		tokens:   map[uint32]*Target{},
-		services: map[service.ID][]*Target{},
+		limits:  l,
+		routes:  map[Endpoint]*Route{},
+		targets: map[target.ID]*Target{},
+		tokens:  map[uint32]*Target{},
 	}
 }
 
@@ -110,10 +106,6 @@
 	case e.Draining && !t.Draining:
 		change = Drained
 	}
-	if change == Joined || t.Service != e.Service {
-		v.unlist(t)
-		v.services[e.Service] = append(v.services[e.Service], t)
-	}
 	t.TargetEntry, t.Version = e, version
 	t.WarmAt = now + e.WarmUp
 	t.Unreadable, t.Missing = false, false
@@ -147,9 +139,6 @@
 // ByToken returns the target that a token names, or nil.
 func (v *View) ByToken(token uint32) *Target { return v.tokens[token] }
 
-// Service returns the known targets of a service, missing ones included.
-func (v *View) Service(id service.ID) []*Target { return v.services[id] }
-
 // Targets calls f for every known target.
 func (v *View) Targets(f func(*Target)) {
 	for _, t := range v.targets {
@@ -183,23 +172,12 @@
 			if v.tokens[t.Token] == t {
 				delete(v.tokens, t.Token)
 			}
-			v.unlist(t)
 			dropped = true
 		}
 	}
 	return dropped
 }
 
-// unlist takes a target out of the list of its service.
-func (v *View) unlist(t *Target) {
-	list := slices.DeleteFunc(v.services[t.Service], func(o *Target) bool { return o == t })
-	if len(list) == 0 {
-		delete(v.services, t.Service)
-		return
-	}
-	v.services[t.Service] = list
-}
-
 // TokenOf returns the token of a target. All instances compute the same value.
 func TokenOf(id target.ID) uint32 {
 	h := xxhash.Sum64String(string(id))
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -130,19 +130,7 @@
 	must.NotNil(t, v.ByToken(TokenOf("i-1")))
 	must.True(t, v.Forget(limits.ForgetAfter))
 	must.Nil(t, v.ByToken(TokenOf("i-1")))
-	must.SliceEmpty(t, v.Service("booking"))
-}
-
-// Guards against a target that is listed under a service which it left.
-func TestServiceChanges(t *testing.T) {
-	v := New(limits)
-	v.Put(0, entry("i-1"), 5)
-	v.Put(0, entry("i-2"), 6)
-	e := entry("i-1")
-	e.Service = "proofing"
-	v.Put(0, e, 7)
-	must.Eq(t, []*Target{v.Target("i-2")}, v.Service("booking"))
-	must.Eq(t, []*Target{v.Target("i-1")}, v.Service("proofing"))
+	must.Nil(t, v.Target("i-1"))
 }
 
 // Guards against two targets that answer to one token: whatever the order in which
