edge: at a first start the store goes first, and an instance that all ask holds no connections

At a first start there is no traffic yet, so that the store is given 500 ms, and a call for everything ends its connection.

--- a/internal/edge/adopt.go
+++ b/internal/edge/adopt.go
@@ -123,7 +123,7 @@
 		i.forward.TargetChanged(t)
 		record.service, record.zone, record.addr = t.Service, t.Zone, t.Addr
 	}
-	i.log.Add(viewClass, record)
+	i.log.Add(changeClass, record)
 }
 
 func (i *Instance) unreadable(kind, name string, err error) {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -54,7 +54,7 @@
 // that an instance of only one data centre may know of a change. One that has a parent
 // hears that way of what the reader of its data centre learns.
 func (i *Instance) askOthers(ctx context.Context) {
-	sleep(ctx, i.firstListDelay()+firstFromStore)
+	sleep(ctx, i.firstListDelay()+i.storeHeadStart())
 	if i.anyListed() {
 		// The store answers. What others tell would cross data centres, for every instance
 		// of a fleet that starts.
@@ -94,7 +94,8 @@
 // ask takes one message of an instance.
 func (i *Instance) ask(ctx context.Context, addr netip.AddrPort) {
 	f := &following{i: i, addr: addr, began: i.now()}
-	err := replica.Follow(ctx, i.peers, addr.String(), replica.Request{Held: i.heldVersions(false), Once: true, Silence: i.timing.Stream.Silence}, func(m replica.Message) (bool, error) {
+	request := replica.Request{Held: i.heldVersions(false), Once: true, Close: !i.allListed(), Silence: i.timing.Stream.Silence}
+	err := replica.Follow(ctx, i.peers, addr.String(), request, func(m replica.Message) (bool, error) {
 		_, err := f.take(m)
 		return true, err // there is one message only
 	})
--- a/internal/edge/reading.go
+++ b/internal/edge/reading.go
@@ -20,6 +20,9 @@
 	// firstFromStore is how long a starting instance waits for the store before it asks
 	// other instances too: some calls of 4 ms. No packet is forwarded meanwhile.
 	firstFromStore = 50 * time.Millisecond
+	// firstStartFromStore is the same where all instances start together, before there is
+	// traffic: those that all settings name would be asked by every one.
+	firstStartFromStore = 500 * time.Millisecond
 	// firstStartSpread is the time over which instances that all start together,
 	// before there is traffic, turn to the store; later ones hear from earlier ones.
 	firstStartSpread = time.Second
@@ -152,6 +155,15 @@
 	return time.Duration(rendezvous.Seed(i.settings.Name) % uint64(firstStartSpread))
 }
 
+// storeHeadStart returns how long the store may take to answer the first list before other
+// instances are asked too.
+func (i *Instance) storeHeadStart() time.Duration {
+	if i.settings.FirstStart {
+		return firstStartFromStore
+	}
+	return firstFromStore
+}
+
 // needsStore reports whether this instance should read a kind from the store. Other
 // instances' view, or what was learned at the start, is used up to the age staleAfter.
 func (i *Instance) needsStore(kind string, staleAfter time.Duration) bool {
--- a/internal/edge/report.go
+++ b/internal/edge/report.go
@@ -22,6 +22,7 @@
 var (
 	lifeClass    = &eventlog.Class{Name: "life", Limit: 50}
 	viewClass    = &eventlog.Class{Name: "view", Limit: 100}
+	changeClass  = &eventlog.Class{Name: "change", Limit: 100}
 	targetClass  = &eventlog.Class{Name: "target", Limit: 50}
 	flowClass    = &eventlog.Class{Name: "flow", Limit: 500}
 	requestClass = &eventlog.Class{Name: "request", Limit: 500}
--- a/internal/replica/follow.go
+++ b/internal/replica/follow.go
@@ -29,8 +29,9 @@
 type Request struct {
 	// Held are the versions by kind that the follower holds; 0 asks for everything.
 	Held map[string]objectstore.Version
-	// Once asks for one message only.
-	Once bool
+	// Once asks for one message only. Close ends the connection with it: an instance that is
+	// asked by all which start would hold one for each of them.
+	Once, Close bool
 	// Silence is how long the source may make no progress.
 	Silence time.Duration
 }
@@ -53,6 +54,7 @@
 	if err != nil {
 		return errors.Wrap(err, "address of the instance")
 	}
+	req.Close = r.Once && r.Close
 	asked := time.Now()
 	watchdog := time.AfterFunc(r.Silence, cancel)
 	defer watchdog.Stop()
--- a/internal/replica/follow_test.go
+++ b/internal/replica/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/http/httptrace"
@@ -122,6 +123,32 @@
 	must.True(t, reused)
 }
 
+// Load pattern: a fleet starts, and each instance asks one that all their settings name.
+// Guards against a connection for each of them that the one asked holds until it is idle.
+func TestConnectionEndsWithTheMessage(t *testing.T) {
+	r := New("k")
+	r.List(0, "k", listing(10, object("k/a", 4)))
+	closed := make(chan struct{}, 2)
+	server := httptest.NewUnstartedServer(r.Handler(stream, still, make(chan struct{})))
+	server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateClosed {
+			closed <- struct{}{}
+		}
+	}
+	server.Start()
+	defer server.Close()
+	request := Request{Held: map[string]objectstore.Version{"k": 0}, Once: true, Close: true, Silence: stream.Silence}
+	must.NoError(t, Follow(t.Context(), http.DefaultClient, strings.TrimPrefix(server.URL, "http://"), request, func(m Message) (bool, error) {
+		must.Len(t, 1, m.Frames)
+		return true, nil
+	}))
+	select {
+	case <-closed:
+	case <-time.After(hang):
+		t.Fatal("the connection is still open")
+	}
+}
+
 func changesNothing(f Frame) bool { return len(f.Objects) == 0 && len(f.Deltas) == 0 }
 
 // Guards against a follower that waits for a source which accepts connections and
