forwarding: instances begin with different targets

Targets without a flow were ordered by their place in the list of their service, which is the same on all instances since then; before, each change rebuilt the lists in the random order of a map, so that the spread was luck.

The order is now random for each instance and target. TestInstancesBeginWithDifferentTargets fails without it (30 of 150 flows on one of 40 targets).

--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -128,7 +128,7 @@
 func (f *Forwarder) TargetChanged(t *view.Target) {
 	l := f.loads[t.ID]
 	if l == nil {
-		l = &load{}
+		l = newLoad()
 		f.loads[t.ID] = l
 	}
 	if l.target == nil || l.service != t.Service {
--- a/internal/forwarding/load.go
+++ b/internal/forwarding/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"guavaloom.example/guavaloom/internal/service"
@@ -46,8 +47,8 @@
 	opening, open, busy int
 	// heardAt is when the target last showed a sign of life.
 	heardAt time.Duration
-	// placedAt orders targets by their last new flow.
-	placedAt uint64
+	// placedAt orders targets by their last new flow, order those without one.
+	placedAt, order uint64
 	// avoidUntil is the end of the pause for new flows; silent tells whether the
 	// target has shown no sign of life since the pause began.
 	avoidUntil time.Duration
@@ -61,6 +62,11 @@
 	failingAt time.Duration
 }
 
+// newLoad returns the load of a target of which nothing was seen. Its order is random:
+// instances that start together would otherwise all give their first flows to the same
+// targets, and go on in the same order.
+func newLoad() *load { return &load{order: rand.Uint64()} }
+
 // failures returns the share of unanswered requests, which fades with time.
 func (l *load) failures(now time.Duration) float64 {
 	if l.failing == 0 {
--- a/internal/forwarding/placement.go
+++ b/internal/forwarding/placement.go
@@ -1,6 +1,7 @@
 package forwarding
 
 import (
+	"cmp"
 	"time"
 
 	"guavaloom.example/guavaloom/internal/view"
@@ -74,7 +75,8 @@
 // better reports whether the option goes before another one; of equal ones the
 // target that was given a flow longer ago does.
 func (o option) better(than option) bool {
-	return o.cost < than.cost || o.cost == than.cost && o.load.placedAt < than.load.placedAt
+	return cmp.Or(cmp.Compare(o.cost, than.cost), cmp.Compare(o.load.placedAt, than.load.placedAt),
+		cmp.Compare(o.load.order, than.load.order)) < 0
 }
 
 // penalty is how much less loaded a target of another data centre must be.
--- a/internal/forwarding/placement_test.go
+++ b/internal/forwarding/placement_test.go
@@ -32,6 +32,27 @@
 	must.Eq(t, "i-far", b.syn(0, flowTo(bookingAddr, 100), 0).Target.ID)
 }
 
+// Load pattern: 30 instances of a data centre start and place a few flows each. Guards
+// against instances that all begin with the same targets, which then have most of the work.
+func TestInstancesBeginWithDifferentTargets(t *testing.T) {
+	const instances, targets, flows = 30, 40, 5
+	placed := map[target.ID]int{}
+	for i := range instances {
+		b := newBed()
+		b.SetInstances(instances)
+		for n := range targets {
+			b.put(0, b.entry(target.ID(fmt.Sprintf("i-%d", n)), "booking", "a"))
+		}
+		for n := range flows {
+			placed[b.syn(0, flowTo(bookingAddr, i*flows+n), 0).Target.ID]++
+		}
+	}
+	const mean = float64(instances*flows) / targets
+	for id, n := range placed {
+		must.LessEq(t, 4*mean, float64(n), must.Sprint(id)) // all on the same five would be eight times the mean
+	}
+}
+
 // Load pattern: a board that is open all day. Guards against long flows that leave
 // their data centre because many of them are open, though none waits.
 func TestIdleFlowsDoNotLeave(t *testing.T) {
