--- a/internal/edge/registry.go
+++ b/internal/edge/registry.go
@@ -172,21 +172,28 @@
 	return len(r.ranks[r.self.zone])
 }
 
-// before returns the instances of the own data centre that rank before this one, by
-// rank, leaving out those that did not answer.
-func (r *registry) before(now time.Duration) []*peer {
+// first returns the first instances of a data centre by rank, leaving out others that did
+// not answer.
+func (r *registry) first(now time.Duration, zone string, n int) []*peer {
 	var out []*peer
-	for _, p := range r.ranks[r.self.zone] {
-		if p == r.self {
+	for _, p := range r.ranks[zone] {
+		if len(out) == n {
 			break
 		}
-		if r.healthy(now, p.addr) {
+		if p == r.self || r.healthy(now, p.addr) {
 			out = append(out, p)
 		}
 	}
 	return out
 }
 
+// before returns the instances of the own data centre that rank before this one.
+func (r *registry) before(now time.Duration) []*peer {
+	zone := r.self.zone
+	all := r.first(now, zone, len(r.ranks[zone]))
+	return all[:slices.Index(all, r.self)]
+}
+
 // isReader reports whether this instance should read the store.
 func (r *registry) isReader(now time.Duration) bool {
 	_, follower := r.parent(now)
@@ -241,8 +248,8 @@
 	r.turn++
 	found := r.otherReaders(now)
 	for _, zone := range r.someZones() {
-		if first := r.firstRanks(now, zone); len(first) > 0 {
-			found = append(found, first[r.turn%len(first)])
+		if first := r.first(now, zone, askedRanks); len(first) > 0 {
+			found = append(found, first[r.turn%len(first)].addr)
 		}
 	}
 	if len(found) > 0 {
@@ -261,15 +268,7 @@
 // otherReaders returns the other instances of the own data centre that read the store.
 func (r *registry) otherReaders(now time.Duration) []netip.AddrPort {
 	var found []netip.AddrPort
-	roots := r.readersPerZone()
-	for _, p := range r.ranks[r.self.zone] {
-		if roots == 0 {
-			break
-		}
-		if p != r.self && !r.healthy(now, p.addr) {
-			continue
-		}
-		roots--
+	for _, p := range r.first(now, r.self.zone, r.readersPerZone()) {
 		if p != r.self {
 			found = append(found, p.addr)
 		}
@@ -288,20 +287,6 @@
 	return slices.Concat(zones[begin:], zones[:begin])[:askedZones]
 }
 
-// firstRanks returns the first instances of a data centre that are known to answer.
-func (r *registry) firstRanks(now time.Duration, zone string) []netip.AddrPort {
-	var out []netip.AddrPort
-	for _, p := range r.ranks[zone] {
-		if len(out) == askedRanks {
-			break
-		}
-		if r.healthy(now, p.addr) {
-			out = append(out, p.addr)
-		}
-	}
-	return out
-}
-
 // inTurn returns one after the other of the addresses that are known to answer.
 func (r *registry) inTurn(now time.Duration, all []netip.AddrPort) (addr netip.AddrPort, ok bool) {
 	all = slices.DeleteFunc(all, func(a netip.AddrPort) bool { return a == r.self.addr || !r.healthy(now, a) })
