forwarding: flows of an overloaded data centre go to targets elsewhere that answer in time

The last is taken: in a general overload targets elsewhere hover at the limit, and flows would cross the links for nothing.

Ruled out: the penalty for other data centres alone; the instance's own queue stays near two requests a slot, below it.

TestOverloadGoesToFreeTargetsElsewhere fails if nothing goes elsewhere.

--- a/internal/forwarding/admission.go
+++ b/internal/forwarding/admission.go
@@ -10,7 +10,7 @@
 // their queues are full and every answer is late. Two thirds of the requests come on new
 // flows, since clients open one where none is free and one for each further try. An instance
 // turns away new flows of requests that are safe to repeat while most targets of its data
-// centre answer late. The targets do as much work as before, for callers who get their
+// centre answer late and no other data centre has one that does not. The targets do as much work as before, for callers who get their
 // answers in time, and the others learn at once that nothing was run.
 
 const (
@@ -18,6 +18,9 @@
 	// late: single answers take up to twice as long as the mean, and a client that was turned
 	// away once has used some of the time.
 	lateShare = 0.4
+	// elsewhereShare is the part of that time within which targets of other data centres
+	// have to answer. When all are near it, flows would cross the links for nothing.
+	elsewhereShare = 0.75
 	// latencyFresh is how long the latency of a target's answers tells of its queue.
 	latencyFresh = time.Second
 )
@@ -37,6 +40,35 @@
 	return l.latency > limit && now <= l.latencyAt+latencyFresh
 }
 
+// elsewhere are the targets of other data centres that are expected to answer in time.
+type elsewhere struct {
+	prompt, unknown option
+	// trying tells that a flow is on its way to one of which nothing is known.
+	trying bool
+}
+
+func (e *elsewhere) add(now time.Duration, o option, limit time.Duration) {
+	l := o.load
+	switch {
+	case l.latency > 0 && now <= l.latencyAt+latencyFresh:
+		if float64(l.latency) <= elsewhereShare*float64(limit) {
+			e.prompt.yield(o)
+		}
+	case l.opening+l.busy > 0:
+		e.trying = true
+	default:
+		e.unknown.yield(o)
+	}
+}
+
+// pick returns the best target, or nil. Where nothing is known, one flow at a time tries.
+func (e *elsewhere) pick() *load {
+	if e.prompt.load == nil && !e.trying {
+		return e.unknown.load
+	}
+	return e.prompt.load
+}
+
 // crowd sums up the targets of a service in the own data centre.
 type crowd struct{ targets, late, slots, busy int }
 
--- a/internal/forwarding/admission_test.go
+++ b/internal/forwarding/admission_test.go
@@ -189,6 +189,20 @@
 	})
 }
 
+// Load pattern: one data centre has more work than its targets can do, the other has little.
+// Guards against flows that are turned away while targets elsewhere are free.
+func TestOverloadGoesToFreeTargetsElsewhere(t *testing.T) {
+	o := newOverload(2, 2, feedWork)
+	for n := range 4 {
+		o.put(0, o.entry(target.ID(fmt.Sprintf("i-far-%d", n)), service.ID("booking"), "b"))
+	}
+	const perSecond, seconds = 300, 10 // 12 of 18 slots
+	o.arrive(feedAddr, perSecond, seconds*time.Second)
+	o.run()
+	must.LessEq(t, 0.01*perSecond*seconds, float64(o.turnedAway[feedAddr]))
+	must.Greater(t, 0.97*perSecond*seconds, float64(o.prompt[feedAddr]))
+}
+
 // Guards against a reset that meets a flow which its first packet has opened elsewhere.
 func TestCopyIsNotTurnedAway(t *testing.T) {
 	o := newOverload(4, 2, feedWork)
--- a/internal/forwarding/placement.go
+++ b/internal/forwarding/placement.go
@@ -44,13 +44,16 @@
 	own        crowd
 }
 
-// choose returns the best of a service's targets for a new flow.
+// choose returns the best of a service's targets for a new flow. While the own data centre
+// is overloaded, a flow that may be turned away goes to one that answers in time, if there
+// is one elsewhere.
 //
 // A target of another data centre is chosen only if the requests at the best own
 // one queue. Flows that are open but idle don't count for that: they are many, and
 // a flow that leaves its data centre ends when the links do.
 func (c *chooser) choose(now time.Duration, v *view.View, all []*load, p placement) (out choice) {
 	var near nearest
+	var others elsewhere
 	for _, l := range all {
 		if !v.TakesFlows(now, l.target) {
 			continue
@@ -70,14 +73,20 @@
 		}
 		o.cost = o.queue + l.idle(parts)
 		near.add(o, here)
-		if here && !doubtful && l != p.exclude {
+		switch {
+		case doubtful || l == p.exclude:
+		case here:
 			out.own.add(now, l, p.limit)
+		default:
+			others.add(now, o, p.limit)
 		}
 	}
-	out.turnedAway = p.limit > 0 && out.own.overloaded(c.parts)
-	if !out.turnedAway {
+	if p.limit == 0 || !out.own.overloaded(c.parts) {
 		out.load = near.pick(p.kind)
+		return out
 	}
+	out.load = others.pick()
+	out.turnedAway = out.load == nil
 	return out
 }
 
@@ -85,13 +94,11 @@
 type nearest struct{ own, other option }
 
 func (b *nearest) add(o option, own bool) {
-	to := &b.other
 	if own {
-		to = &b.own
-	}
-	if to.load == nil || o.better(*to) {
-		*to = o
+		b.own.yield(o)
+		return
 	}
+	b.other.yield(o)
 }
 
 // pick returns the target of a new flow, or nil if there is no option.
@@ -119,6 +126,13 @@
 		cmp.Compare(o.load.order, than.load.order)) < 0
 }
 
+// yield replaces the option by a better one.
+func (o *option) yield(to option) {
+	if o.load == nil || to.better(*o) {
+		*o = to
+	}
+}
+
 // penalty is how much less loaded a target of another data centre must be.
 func penalty(kind view.Kind) float64 {
 	if kind == view.Upload {
