e2e: a signer's key that was withdrawn is not in use after a restart

Looked for what operators of similar systems report: a key withdrawn while an instance is down, in use again afterwards. It can't happen here: a bundle passes Verify with the keys of the instance's own settings whether it comes from the store or from another instance, and nothing of it outlives the process. The test has a stolen bundle in the store, signed by the withdrawn key, and restarts an instance; planted: a signature by an unknown key counts.

--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -76,6 +76,7 @@
 	flows      *lab.Flows
 	requests   *lab.Requests
 	targets    []lab.Listed
+	trusted    []string // the signers in the settings of instances that start, and of operators
 	traffic    sync.WaitGroup
 	stop       context.CancelFunc // ends traffic
 
@@ -145,7 +146,9 @@
 	for _, id := range ids {
 		f.seeds[id] = f.Addr()
 	}
-	f.writeOperator()
+	for _, s := range append(slices.Clone(signers), spareSigner) {
+		f.addSigner(s)
+	}
 	t.Cleanup(f.endTraffic)
 	for _, id := range ids {
 		f.start(id)
@@ -186,15 +189,23 @@
 	return f.file(name)
 }
 
-// signers have a key each; both have to sign a bundle.
+// signers have a key each; both have to sign a bundle, or one of them and spareSigner.
 var signers = []string{"amara", "delroy"}
 
-// writeOperator makes the keys and the settings of the operators' tool.
-func (f *fleet) writeOperator() {
-	text := fmt.Sprintf("[platform]\naddress = %s\n[bundle]\nname = %s\nthreshold = %d\n", f.url, lab.Name, len(signers))
-	for _, s := range signers {
-		code, out := f.tool("keys", "new", "--out", f.file(s))
-		must.Eq(f.t, cli.ExitDone, code, must.Sprint(out))
+const spareSigner = "imani"
+
+// addSigner makes a key and lets the settings written from now on trust it.
+func (f *fleet) addSigner(name string) {
+	code, out := f.tool("keys", "new", "--out", f.file(name))
+	must.Eq(f.t, cli.ExitDone, code, must.Sprint(out))
+	f.trust(append(f.trusted, name)...)
+}
+
+// trust sets the signers and writes the settings of the operators' tool.
+func (f *fleet) trust(names ...string) {
+	f.trusted = names
+	text := fmt.Sprintf("[platform]\naddress = %s\n[bundle]\nname = %s\nthreshold = %d\n", f.url, lab.Name, min(len(names), len(signers)))
+	for _, s := range names {
 		text += fmt.Sprintf("[key %s]\nfile = %s.pub\n", s, s)
 	}
 	f.write("operator.ini", text)
@@ -216,7 +227,7 @@
 		}
 	}
 	p("[signers]")
-	for _, s := range signers {
+	for _, s := range f.trusted {
 		key, err := cli.ReadPublicKey(f.file(s + ".pub"))
 		must.NoError(f.t, err)
 		p("%s = %s", s, base64.StdEncoding.EncodeToString(key))
