--- a/internal/forwarding/admission.go
+++ b/internal/forwarding/admission.go
@@ -10,8 +10,9 @@
 // their queues are full and every answer is late. Two thirds of the requests come on new
 // flows, since clients open one where none is free and one for each further try. An instance
 // turns away new flows of requests that are safe to repeat while most targets of its data
-// centre answer late and no other data centre has one that does not. The targets do as much work as before, for callers who get their
-// answers in time, and the others learn at once that nothing was run.
+// centre answer late and none elsewhere is known to answer in time. The targets do as much
+// work as before, for callers who get their answers in time, and the others learn at once
+// that nothing was run.
 
 const (
 	// lateShare is the part of a route's objective beyond which the mean answer counts as
--- a/internal/replica/wire.go
+++ b/internal/replica/wire.go
@@ -20,10 +20,10 @@
 // maxPacked bounds the lists of a message, one a kind.
 const maxPacked = 16
 
-// The types of a line of the stream, in CBOR: values go as they are, and a list that was
-// encoded once is copied into the lines of further followers.
+// The types of the stream's messages, in CBOR: values go as they are, and a list that was
+// encoded once is copied into the messages to further followers.
 type (
-	// envelope is a line.
+	// envelope is one message.
 	envelope struct {
 		// Lists go before the frames.
 		Lists  []packedFrame `cbor:"1,keyasint,omitempty"`
@@ -81,7 +81,7 @@
 	return f
 }
 
-// encode returns the line that tells the frames after the lists.
+// encode returns the message that tells the frames after the lists.
 func encode(lists []packedFrame, frames []Frame) ([]byte, error) {
 	e := envelope{Lists: lists}
 	size := 0
@@ -137,7 +137,7 @@
 	return packed.Bytes(), err
 }
 
-// open returns the message of a line.
+// open returns what an envelope tells.
 func (e *envelope) open() (Message, error) {
 	if len(e.Lists) > maxPacked {
 		return Message{}, errors.Errorf("message of %d lists, allowed are %d", len(e.Lists), maxPacked)
