edge: the next instance reads the store while the reader is turned away

The logs: the store turns away the readers of all four data centres; their followers reach it, but read only when their view is 4.2 to 5.7 s old, and once each time. Readers compare with each other and with their deputies, and nobody holds anything newer.

The first instance behind the readers now reads the store too while its reader tells of failed calls. Readers of other data centres ask it already.

Found on the way: a difference to a version that another answer had replaced meanwhile counted as a failure of its source, which was passed over for 1.5 s with the newest state; everything is asked for at once instead.

TestAnswerOvertakenByAnother and TestDeputyReadsWhileTheReaderIsTurnedAway fail without the changes.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -34,6 +34,8 @@
 		whole = f.gap
 		if err != nil {
 			f.failed(err)
+		}
+		if err != nil && !f.gap {
 			sleep(ctx, retryPause)
 		}
 	}
@@ -91,10 +93,17 @@
 	all.Wait()
 }
 
-// ask takes one message of an instance.
+// ask takes one message of an instance. If it is the difference to what this one no longer
+// holds, since another answer came first, everything is asked for.
 func (i *Instance) ask(ctx context.Context, addr netip.AddrPort) {
+	if f := i.askOnce(ctx, addr, false); f.gap {
+		i.askOnce(ctx, addr, true)
+	}
+}
+
+func (i *Instance) askOnce(ctx context.Context, addr netip.AddrPort, whole bool) *following {
 	f := &following{i: i, addr: addr, began: i.now()}
-	request := replica.Request{Held: i.heldVersions(false), Once: true, Close: !i.allListed(), Silence: i.timing.Stream.Silence}
+	request := replica.Request{Held: i.heldVersions(whole), Once: true, Close: !i.allListed(), Silence: i.timing.Stream.Silence}
 	err := replica.Follow(ctx, i.peers, addr.String(), request, func(m replica.Message) (bool, error) {
 		_, err := f.take(m)
 		return true, err // there is one message only
@@ -102,6 +111,7 @@
 	if err != nil {
 		f.failed(err)
 	}
+	return f
 }
 
 // freshFor returns how long no other instance has to be asked once all kinds were
@@ -161,7 +171,7 @@
 func (f *following) failed(err error) {
 	i, now := f.i, f.i.now()
 	i.countRead(peerSource, "follow", err)
-	if errors.Is(err, replica.ErrBusy) {
+	if f.gap || errors.Is(err, replica.ErrBusy) {
 		return // it lives; the next one is asked, or it is asked again
 	}
 	if i.registry.fail(now, f.addr) {
--- /dev/null
+++ b/internal/edge/peers_test.go
@@ -0,0 +1,81 @@
+package edge
+
+import (
+	"bytes"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"guavaloom.example/guavaloom/internal/objectstore"
+	"guavaloom.example/guavaloom/internal/replica"
+)
+
+// Load pattern: configurations come in quick succession while the readers of all data
+// centres can't reach the store and ask several instances at a time. Guards against an
+// instance that is passed over, with the newest configuration, because it told the
+// difference to a version that another answer has replaced meanwhile.
+func TestAnswerOvertakenByAnother(t *testing.T) {
+	config := func(version int, text string) objectstore.Listing {
+		value := []byte(`{"routes":[` + strings.Repeat(`{"name":"route"},`, 200) + `{"name":"` + text + `"}]}`)
+		v := objectstore.Version(version)
+		return objectstore.Listing{Version: v, Objects: []objectstore.Object{{Key: "config/main", Version: v, Value: value}}}
+	}
+	source := replica.New("config", "targets", "instances")
+	for _, kind := range []string{"targets", "instances"} {
+		source.List(0, kind, objectstore.Listing{Version: 3})
+	}
+	source.List(0, "config", config(3, "a"))
+	source.Events(0, "config", config(39, "c"))
+
+	var out bytes.Buffer
+	i := newTestInstance(t, &out)
+	i.peers = http.DefaultClient
+	for _, kind := range i.replica.Kinds() {
+		i.adopt(0, kind, storeSource, objectstore.Listing{Version: 3}, true)
+	}
+	i.adopt(0, "config", storeSource, config(3, "a"), true)
+
+	var calls atomic.Int32
+	handler := source.Handler(i.timing.Stream, func() time.Duration { return 0 }, make(chan struct{}))
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) == 1 {
+			i.adopt(0, "config", peerSource, config(38, "b"), true) // another answer comes first
+		}
+		handler.ServeHTTP(w, r)
+	}))
+	defer server.Close()
+	addr := netip.MustParseAddrPort(server.Listener.Addr().String())
+	i.ask(t.Context(), addr)
+	must.Eq(t, 39, i.replica.Version("config"))
+	must.Eq(t, 2, calls.Load())
+	must.False(t, i.registry.health(addr).failed)
+}
+
+// Load pattern: the store turns away the reader of each data centre and serves the others,
+// while configurations change. Guards against a data centre that hears of nothing until its
+// followers' view is old, and against all of them calling a store that is down.
+func TestDeputyReadsWhileTheReaderIsTurnedAway(t *testing.T) {
+	var out bytes.Buffer
+	i := newTestInstance(t, &out)
+	for n, zone := range []string{"b", "c", "d"} {
+		i.registry.put("other-"+zone, zone, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(n)}), 1))
+	}
+	before := func(n int) {
+		for name := 0; len(i.registry.before(0)) < n; name++ {
+			i.registry.put("near-"+string(rune('a'+name)), "a", netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 2, byte(name)}), 1))
+		}
+	}
+	before(1)
+	i.adopt(0, "config", peerSource, objectstore.Listing{Version: 3}, true)
+	must.False(t, i.needsStore("config", time.Hour))
+	i.replica.StoreFailed(i.now())
+	must.True(t, i.needsStore("config", time.Hour))
+	before(2)
+	must.False(t, i.needsStore("config", time.Hour))
+}
--- a/internal/edge/reading.go
+++ b/internal/edge/reading.go
@@ -175,6 +175,9 @@
 	if i.registry.isReader(now) {
 		return true
 	}
+	if i.replica.RecentOutage(now) && i.registry.isDeputy(now) {
+		return true // the store may turn away the reader only, and answer this instance
+	}
 	return kind != i.platform.InstanceKind && age > staleAfter && now > staleAfter
 }
 
--- a/internal/edge/registry.go
+++ b/internal/edge/registry.go
@@ -200,6 +200,13 @@
 	return !follower
 }
 
+// isDeputy reports whether this instance is the first behind the readers.
+func (r *registry) isDeputy(now time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.before(now)) == r.readersPerZone()
+}
+
 // parent returns the instance that this one follows in the tree; ok is false for
 // those that read the store.
 func (r *registry) parent(now time.Duration) (addr netip.AddrPort, ok bool) {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -228,6 +228,14 @@
 	r.outageAt, r.outage = at, true
 }
 
+// RecentOutage reports whether a call to the store failed lately, here or at the instance
+// that this one hears from.
+func (r *Replica) RecentOutage(now time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.recentOutage(now)
+}
+
 func (r *Replica) recentOutage(now time.Duration) bool {
 	return r.outage && now < r.outageAt+outageMemory
 }
