daemon: a stop waits long enough for connections on which nothing was sent

An HTTP server that shuts down waits until such a connection is five seconds old, six by its clock, and closing had five. Clients open one when a connection becomes free while they dial.

Ruled out: requests in flight (0 cut, 0 without a known outcome).

TestTerminateWithUnusedConnections opens them until the instance takes none any more; it fails with five seconds, with the same error, and passes with eight.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -34,8 +34,9 @@
 	// StopTimeout bounds a graceful stop: requests in flight end, pins are handed
 	// over, and the zone takes the instance out of its table.
 	StopTimeout = 60 * time.Second
-	// closeTimeout bounds closing the parts after that.
-	closeTimeout = 5 * time.Second
+	// closeTimeout bounds closing the parts after that. An HTTP server waits up to 6 s for a
+	// connection on which nothing was sent yet.
+	closeTimeout = 8 * time.Second
 )
 
 // Option changes how Run works.
--- a/internal/e2e/stop_test.go
+++ b/internal/e2e/stop_test.go
@@ -106,3 +106,30 @@
 	must.Eq(t, cli.ExitDone, <-exit)
 	f.holds()
 }
+
+// Guards against a stop that fails for connections on which nothing was sent yet: clients
+// open one beside a connection that becomes free meanwhile.
+func TestTerminateWithUnusedConnections(t *testing.T) {
+	f := newFleet(t, "a1", "a2", "a3")
+	p := f.all()[2]
+	var open []net.Conn
+	opened := make(chan struct{})
+	go func() {
+		defer close(opened)
+		for {
+			c, err := net.Dial("tcp", f.seeds[p.ID].String())
+			if err != nil {
+				return // the instance takes none any more
+			}
+			open = append(open, c)
+			time.Sleep(100 * time.Millisecond)
+		}
+	}()
+	code := f.terminate(p)
+	<-opened
+	for _, c := range open {
+		_ = c.Close()
+	}
+	must.SliceNotEmpty(t, open)
+	must.Zero(t, code)
+}
