--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -31,11 +31,11 @@
 		if ctx.Err() != nil {
 			return
 		}
-		whole = f.gap
-		if err != nil {
-			f.failed(err)
+		if whole = f.gap; err == nil {
+			continue
 		}
-		if err != nil && !f.gap {
+		f.failed(err)
+		if !f.gap {
 			sleep(ctx, retryPause)
 		}
 	}
--- a/internal/edge/registry.go
+++ b/internal/edge/registry.go
@@ -172,11 +172,10 @@
 	return len(r.ranks[r.self.zone])
 }
 
-// first returns the first instances of a data centre by rank, leaving out others that did
-// not answer.
-func (r *registry) first(now time.Duration, zone string, n int) []*peer {
+// answering returns the first n of some instances, leaving out others that did not answer.
+func (r *registry) answering(now time.Duration, peers []*peer, n int) []*peer {
 	var out []*peer
-	for _, p := range r.ranks[zone] {
+	for _, p := range peers {
 		if len(out) == n {
 			break
 		}
@@ -189,9 +188,9 @@
 
 // before returns the instances of the own data centre that rank before this one.
 func (r *registry) before(now time.Duration) []*peer {
-	zone := r.self.zone
-	all := r.first(now, zone, len(r.ranks[zone]))
-	return all[:slices.Index(all, r.self)]
+	own := r.ranks[r.self.zone]
+	at, _ := slices.BinarySearchFunc(own, r.self, byRank)
+	return r.answering(now, own[:at], at)
 }
 
 // isReader reports whether this instance should read the store.
@@ -255,7 +254,7 @@
 	r.turn++
 	found := r.otherReaders(now)
 	for _, zone := range r.someZones() {
-		if first := r.first(now, zone, askedRanks); len(first) > 0 {
+		if first := r.answering(now, r.ranks[zone], askedRanks); len(first) > 0 {
 			found = append(found, first[r.turn%len(first)].addr)
 		}
 	}
@@ -275,7 +274,7 @@
 // otherReaders returns the other instances of the own data centre that read the store.
 func (r *registry) otherReaders(now time.Duration) []netip.AddrPort {
 	var found []netip.AddrPort
-	for _, p := range r.first(now, r.self.zone, r.readersPerZone()) {
+	for _, p := range r.answering(now, r.ranks[r.self.zone], r.readersPerZone()) {
 		if p != r.self {
 			found = append(found, p.addr)
 		}
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -114,33 +114,29 @@
 }
 
 // span returns a setter for a number of units between two limits, fractions allowed.
-// An empty value, of a deployment that does not set the bound, leaves the default.
 func span(dst *time.Duration, unit, least, most time.Duration) func(string) string {
-	return func(v string) string {
-		if v == "" {
-			return ""
-		}
-		n, err := strconv.ParseFloat(v, 64)
-		if err != nil || !(n >= float64(least)/float64(unit) && n <= float64(most)/float64(unit)) {
-			return fmt.Sprintf("bad number %q, allowed is %g to %g", v, float64(least)/float64(unit), float64(most)/float64(unit))
-		}
-		*dst = time.Duration(n * float64(unit))
-		return ""
-	}
+	in := func(d time.Duration) float64 { return float64(d) / float64(unit) }
+	return between(in(least), in(most), func(n float64) { *dst = time.Duration(n * float64(unit)) })
 }
 
-// count returns a setter for a number between two limits. It reads an empty value as
-// span does, and takes the whole part of a fraction.
+// count returns a setter for a number between two limits, which takes the whole part of a
+// fraction.
 func count(dst *uint64, least, most uint64) func(string) string {
+	return between(least, most, func(n float64) { *dst = uint64(n) })
+}
+
+// between returns a setter that checks a number. An empty value, of a deployment that does
+// not set the bound, leaves the default.
+func between[N uint64 | float64](least, most N, set func(n float64)) func(string) string {
 	return func(v string) string {
 		if v == "" {
 			return ""
 		}
 		n, err := strconv.ParseFloat(v, 64)
 		if err != nil || !(n >= float64(least) && n <= float64(most)) {
-			return fmt.Sprintf("bad number %q, allowed is %d to %d", v, least, most)
+			return fmt.Sprintf("bad number %q, allowed is %v to %v", v, least, most)
 		}
-		*dst = uint64(n)
+		set(n)
 		return ""
 	}
 }
