forwarding, replica, listen: state each condition once

Whether a latency is recent stood twice, and so did the search in the log of changes. The number of open connections had no reader but the listener's test.

--- a/internal/forwarding/admission.go
+++ b/internal/forwarding/admission.go
@@ -36,9 +36,9 @@
 	return time.Duration(lateShare * float64(r.Objective))
 }
 
-// late reports whether the target's last answers took longer than a limit.
-func (l *load) late(now, limit time.Duration) bool {
-	return l.latency > limit && now <= l.latencyAt+latencyFresh
+// measured reports whether the target's latency tells of its queue.
+func (l *load) measured(now time.Duration) bool {
+	return l.latency > 0 && now <= l.latencyAt+latencyFresh
 }
 
 // elsewhere are the targets of other data centres that are expected to answer in time.
@@ -51,14 +51,14 @@
 func (e *elsewhere) add(now time.Duration, o option, limit time.Duration) {
 	l := o.load
 	switch {
-	case l.latency > 0 && now <= l.latencyAt+latencyFresh:
+	case l.measured(now):
 		if float64(l.latency) <= elsewhereShare*float64(limit) {
-			e.prompt.yield(o)
+			e.prompt.improve(o)
 		}
 	case l.opening+l.busy > 0:
 		e.trying = true
 	default:
-		e.unknown.yield(o)
+		e.unknown.improve(o)
 	}
 }
 
@@ -77,7 +77,7 @@
 	c.targets++
 	c.slots += l.target.Slots
 	c.busy += l.busy + l.opening
-	if l.late(now, limit) {
+	if l.measured(now) && l.latency > limit {
 		c.late++
 	}
 }
--- a/internal/forwarding/placement.go
+++ b/internal/forwarding/placement.go
@@ -95,10 +95,10 @@
 
 func (b *nearest) add(o option, own bool) {
 	if own {
-		b.own.yield(o)
+		b.own.improve(o)
 		return
 	}
-	b.other.yield(o)
+	b.other.improve(o)
 }
 
 // pick returns the target of a new flow, or nil if there is no option.
@@ -126,8 +126,8 @@
 		cmp.Compare(o.load.order, than.load.order)) < 0
 }
 
-// yield replaces the option by a better one.
-func (o *option) yield(to option) {
+// improve replaces the option by a better one.
+func (o *option) improve(to option) {
 	if o.load == nil || to.better(*o) {
 		*o = to
 	}
--- a/internal/listen/bounded.go
+++ b/internal/listen/bounded.go
@@ -75,13 +75,6 @@
 	}
 }
 
-// Open returns the number of open connections.
-func (b *Bounded) Open() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.open
-}
-
 // conn is a connection that counts against the limits until it is closed.
 type conn struct {
 	net.Conn
--- a/internal/listen/bounded_test.go
+++ b/internal/listen/bounded_test.go
@@ -34,6 +34,12 @@
 	return c, err == nil
 }
 
+func openConnections(b *Bounded) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.open
+}
+
 // Guards against one client that takes all connections, and against a limit that
 // stays used up when connections end.
 func TestConnectionsAreBounded(t *testing.T) {
@@ -61,14 +67,14 @@
 	}
 	_, kept = dial(t, b, "127.0.0.3")
 	must.False(t, kept)
-	must.Eq(t, 5, b.Open())
+	must.Eq(t, 5, openConnections(b))
 	must.Eq(t, 2, rejected.Load())
 	for range 5 {
 		c := <-accepted
 		must.NoError(t, c.Close())
 		_ = c.Close() // counts once
 	}
-	must.Eq(t, 0, b.Open())
+	must.Eq(t, 0, openConnections(b))
 	_, kept = dial(t, b, "127.0.0.3")
 	must.True(t, kept)
 }
--- a/internal/replica/changes.go
+++ b/internal/replica/changes.go
@@ -19,12 +19,18 @@
 	key     string
 }
 
+// after returns the position of the first change after a version.
+func (l changeLog) after(version objectstore.Version) int {
+	at, _ := slices.BinarySearchFunc(l, version+1, func(c change, v objectstore.Version) int { return cmp.Compare(c.version, v) })
+	return at
+}
+
 // note adds a change to the log. Changes mostly come in the order of their versions.
 func (k *kind) note(version objectstore.Version, key string) {
 	if version <= k.logFloor {
 		return // whoever is so far behind is not served from the log
 	}
-	at, _ := slices.BinarySearchFunc(k.log, version+1, func(c change, v objectstore.Version) int { return cmp.Compare(c.version, v) })
+	at := k.log.after(version)
 	k.log = slices.Insert(k.log, at, change{version, key})
 	if len(k.log) > maxLog {
 		half := len(k.log) / 2
@@ -35,8 +41,7 @@
 
 // since returns the changes after a version that the log reaches back to.
 func (k *kind) since(after objectstore.Version) (out []objectstore.Object) {
-	at, _ := slices.BinarySearchFunc(k.log, after+1, func(c change, v objectstore.Version) int { return cmp.Compare(c.version, v) })
-	for _, c := range k.log[at:] {
+	for _, c := range k.log[k.log.after(after):] {
 		switch o, held := k.objects[c.key]; {
 		case held && o.Version == c.version:
 			out = append(out, o)
