--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -34,6 +34,7 @@
 		})
 		return
 	}
+	i.reportConflicts(kind, source, u.Conflicts)
 	if len(u.Objects) > 0 {
 		i.metrics.Histogram(metric.EdgeChangeAge, source).Observe(l.Age)
 	}
@@ -64,6 +65,17 @@
 	}
 }
 
+// reportConflicts logs objects that were ignored because their version is known, although
+// their content differs.
+func (i *Instance) reportConflicts(kind, source string, conflicts []objectstore.Object) {
+	for _, o := range conflicts {
+		i.metrics.Counter(metric.EdgeConflicts, kind).Inc(1)
+		i.log.Event(viewClass, "object ignored, version is known with another content", logrus.Fields{
+			logfield.Kind: kind, logfield.Source: source, logfield.Target: o.Key, logfield.Version: uint64(o.Version),
+		})
+	}
+}
+
 func (i *Instance) applyObject(now time.Duration, kind, source string, o objectstore.Object) {
 	defer i.recoverPanic("entry")
 	_, name, _ := strings.Cut(o.Key, "/")
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"bytes"
 	"cmp"
 	"maps"
 	"slices"
@@ -91,6 +92,9 @@
 	First bool
 	// Stale is set if the list was older than the copy and was ignored.
 	Stale bool
+	// Conflicts are objects that were ignored because their version was not above the one
+	// held, although their content differs from it.
+	Conflicts []objectstore.Object
 }
 
 // ApplyList applies a list of all objects of a kind, unless it is older than the copy. The
@@ -107,9 +111,7 @@
 	present := make(map[string]bool, len(l.Objects))
 	for _, o := range l.Objects {
 		present[o.Key] = true
-		if k.put(o) {
-			u.Objects = append(u.Objects, o)
-		}
+		k.apply(o, &u)
 	}
 	for key := range k.objects {
 		if !present[key] {
@@ -140,9 +142,7 @@
 			}
 			continue
 		}
-		if k.put(o) {
-			u.Objects = append(u.Objects, o)
-		}
+		k.apply(o, &u)
 	}
 	r.advance(k, l.Version, min(now-l.Age, now), len(u.Objects) > 0)
 	return sortedByVersion(u)
@@ -153,6 +153,17 @@
 	return u
 }
 
+// apply stores an object if it is newer than the copy's, and adds it to the update.
+func (k *kindState) apply(o objectstore.Object, u *Update) {
+	held := k.objects[o.Key]
+	switch {
+	case k.put(o):
+		u.Objects = append(u.Objects, o)
+	case held.Version == o.Version && !bytes.Equal(held.Value, o.Value):
+		u.Conflicts = append(u.Conflicts, o)
+	}
+}
+
 // put stores an object if it is newer than the copy's, and reports whether it did.
 func (k *kindState) put(o objectstore.Object) bool {
 	held := k.objects[o.Key]
