Order the states of the store over its restores: versions with an epoch

Cause: revisions were taken for numbers that only rise. A restored store goes back and gives out revisions again, so that a list counted as older than the copy and a change whose revision was known as no change.

Change: a Version consists of the epoch of the store, from the header Store-Era, and the revision. Versions are ordered over restores; all comparisons of the replica, of its followers and of the view hold as they are. A watch that is answered in another epoch expires. A condition from before a restore conflicts without a call. Lists of unknown age have epoch 0, below each confirmed state, whatever their header says. A copy that passes into a new epoch forgets what it recorded of removals. The path of the stream between instances is /v4/follow, since versions mean something else; an older build turns to the store. The operator's version decides between two configurations. Logs, /status, guavaloom instances and two metrics show the epoch.

--- a/internal/cli/instances.go
+++ b/internal/cli/instances.go
@@ -54,7 +54,7 @@
 			lines = append(lines, fmt.Sprintf("  %s: not received yet", k.Kind))
 			continue
 		}
-		lines = append(lines, fmt.Sprintf("  %s: version %d, %d ms old", k.Kind, k.Version, k.AgeMillis))
+		lines = append(lines, fmt.Sprintf("  %s: version %d in epoch %d of the store, %d ms old", k.Kind, k.Version, k.Epoch, k.AgeMillis))
 	}
 	for _, tg := range s.Targets {
 		if targets {
--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -20,6 +20,7 @@
 func (i *Instance) applyListing(now time.Duration, kind, source string, l objectstore.Listing, full bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	held := i.replica.Version(kind)
 	var u replica.Update
 	if full {
 		u = i.replica.ApplyList(now, kind, l)
@@ -28,18 +29,20 @@
 	}
 	if u.Stale {
 		i.metrics.Counter(metric.EdgeStaleLists, source).Inc(1)
-		i.log.Event(viewClass, "older list ignored", logrus.Fields{
-			logfield.Kind: kind, logfield.Source: source, logfield.Version: uint64(l.Version),
-			logfield.HeldVersion: uint64(i.replica.Version(kind)),
-		})
+		i.log.Event(viewClass, "older list ignored", versionFields(kind, source, l.Version, held))
 		return
 	}
+	if u.Restored {
+		i.metrics.Counter(metric.EdgeRestores, kind).Inc(1)
+		i.log.Event(viewClass, "store was restored", versionFields(kind, source, l.Version, held))
+	}
+	i.metrics.Gauge(metric.EdgeStoreEpoch, kind).Update(float64(max(l.Version, held).Epoch()))
 	i.reportConflicts(kind, source, u.Conflicts)
 	if len(u.Objects) > 0 {
 		i.metrics.Histogram(metric.EdgeChangeAge, source).Observe(l.Age)
 	}
 	age, _ := i.replica.Age(now, kind)
-	if u.Outage {
+	if u.Outage || u.Restored {
 		i.forward.View.OutageAt = now
 	}
 	for _, o := range u.Objects {
@@ -60,18 +63,28 @@
 	i.logReadinessChange()
 	if u.First {
 		i.log.Event(viewClass, "first list", logrus.Fields{
-			logfield.Kind: kind, logfield.Source: source, logfield.Version: uint64(l.Version), logfield.Count: len(u.Objects),
+			logfield.Kind: kind, logfield.Source: source, logfield.Count: len(u.Objects),
+			logfield.Epoch: l.Version.Epoch(), logfield.Version: l.Version.Revision(),
 		})
 	}
 }
 
+// versionFields returns the log fields that compare the version of an answer with the one held.
+func versionFields(kind, source string, version, held objectstore.Version) logrus.Fields {
+	return logrus.Fields{
+		logfield.Kind: kind, logfield.Source: source,
+		logfield.Epoch: version.Epoch(), logfield.Version: version.Revision(),
+		logfield.HeldEpoch: held.Epoch(), logfield.HeldVersion: held.Revision(),
+	}
+}
+
 // reportConflicts logs objects that were ignored because their version is known, although
 // their content differs.
 func (i *Instance) reportConflicts(kind, source string, conflicts []objectstore.Object) {
 	for _, o := range conflicts {
 		i.metrics.Counter(metric.EdgeConflicts, kind).Inc(1)
 		i.log.Event(viewClass, "object ignored, version is known with another content", logrus.Fields{
-			logfield.Kind: kind, logfield.Source: source, logfield.Target: o.Key, logfield.Version: uint64(o.Version),
+			logfield.Kind: kind, logfield.Source: source, logfield.Target: o.Key, logfield.Epoch: o.Version.Epoch(), logfield.Version: o.Version.Revision(),
 		})
 	}
 }
@@ -90,7 +103,7 @@
 }
 
 func (i *Instance) applyConfig(name, source string, o objectstore.Object) {
-	fields := logrus.Fields{logfield.Source: source, logfield.Version: uint64(o.Version)}
+	fields := logrus.Fields{logfield.Source: source, logfield.Epoch: o.Version.Epoch(), logfield.Version: o.Version.Revision()}
 	if o.Deleted {
 		i.log.Event(viewClass, "configuration deleted from the store, keeping the last one", fields)
 		return
@@ -103,34 +116,43 @@
 		i.reportUnreadable(i.platform.ConfigKind, name, err)
 		return
 	}
-	if i.forward.View.SetConfig(c) {
-		i.metrics.Counter(metric.EdgeChanges, "config").Inc(1)
-		fields[logfield.Config], fields[logfield.Count] = c.Version, len(c.Routes)
-		i.log.Event(viewClass, "configuration", fields)
+	held := i.forward.View.Config().Version
+	fields[logfield.Config], fields[logfield.Count] = c.Version, len(c.Routes)
+	if !i.forward.View.SetConfig(c, o.Version.Epoch()) {
+		fields[logfield.HeldVersion] = held
+		i.log.Event(viewClass, "older configuration ignored", fields)
+		return
 	}
+	i.metrics.Counter(metric.EdgeChanges, "config").Inc(1)
+	i.log.Event(viewClass, "configuration", fields)
 }
 
 func (i *Instance) applyTarget(now time.Duration, name, source string, o objectstore.Object) {
-	var change view.Change
-	var t *view.Target
-	v := i.forward.View
-	switch {
-	case o.Deleted:
-		t, change = v.Remove(now, target.ID(name), uint64(o.Version))
-	default:
-		e, err := i.platform.Entries.Target(name, o.Value)
-		if err != nil {
-			i.reportUnreadable(i.platform.TargetKind, name, err)
-			change = v.PutUnreadable(target.ID(name), uint64(o.Version))
-			break
-		}
-		t, change = v.Put(now, e, uint64(o.Version))
+	t, change := i.updateTarget(now, name, o)
+	if change != view.Unchanged {
+		i.reportTarget(name, source, o.Version, t, change)
 	}
-	if change == view.Unchanged {
-		return
+}
+
+// updateTarget applies a change of a target's entry to the view.
+func (i *Instance) updateTarget(now time.Duration, name string, o objectstore.Object) (*view.Target, view.Change) {
+	v, id, version := i.forward.View, target.ID(name), uint64(o.Version)
+	if o.Deleted {
+		return v.Remove(now, id, version)
 	}
+	e, err := i.platform.Entries.Target(name, o.Value)
+	if err != nil {
+		i.reportUnreadable(i.platform.TargetKind, name, err)
+		return nil, v.PutUnreadable(id, version)
+	}
+	return v.Put(now, e, version)
+}
+
+// reportTarget logs and counts a change of a target and passes it to the forwarder. t is nil
+// if the target's entry can't be read.
+func (i *Instance) reportTarget(name, source string, version objectstore.Version, t *view.Target, change view.Change) {
 	i.metrics.Counter(metric.EdgeChanges, string(change)).Inc(1)
-	record := &changeRecord{target: name, change: change, source: source, version: uint64(o.Version)}
+	record := &changeRecord{target: name, change: change, source: source, version: version}
 	if t != nil {
 		i.forward.UpdateTarget(t)
 		record.service, record.zone, record.addr = t.Service, t.Zone, t.Addr
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -115,8 +115,6 @@
 	stopping    bool
 	// confirmed means that the view has matched the store's current state at least once.
 	confirmed bool
-	// epochs has the store's epoch in the last answer, by kind.
-	epochs map[string]uint64
 	// loggedReasons are the reasons in the last logged change of readiness; nil before the first.
 	loggedReasons []string
 }
@@ -131,7 +129,6 @@
 		registry:   newRegistry(s),
 		peerClient: &http.Client{Transport: p.Transport},
 		stopped:    make(chan struct{}),
-		epochs:     map[string]uint64{},
 
 		instancesListed: make(chan struct{}),
 	}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -124,13 +124,14 @@
 }
 
 // heldVersions returns the replica's version of each kind. It is 0, which requests the full
-// state, if full is set or the kind was never listed.
+// state, if full is set or no source confirmed the kind: a stale list may show a state from
+// before a restore of the store, to which no changes apply.
 func (i *Instance) heldVersions(full bool) map[string]objectstore.Version {
 	held := map[string]objectstore.Version{}
 	for _, kind := range i.replica.Kinds() {
 		held[kind] = 0
-		if !full {
-			held[kind] = i.replica.Version(kind)
+		if v := i.replica.Version(kind); !full && v.Epoch() > 0 {
+			held[kind] = v
 		}
 	}
 	return held
--- a/internal/edge/status.go
+++ b/internal/edge/status.go
@@ -18,7 +18,8 @@
 	s.ReadsStore = i.registry.isReader(now)
 	for _, kind := range i.replica.Kinds() {
 		age, listed := i.replica.Age(now, kind)
-		k := explain.KindStatus{Kind: kind, Listed: listed, Version: uint64(i.replica.Version(kind))}
+		held := i.replica.Version(kind)
+		k := explain.KindStatus{Kind: kind, Listed: listed, Version: held.Revision(), Epoch: held.Epoch()}
 		if listed {
 			k.AgeMillis = age.Milliseconds()
 		}
--- a/internal/edge/store_reader.go
+++ b/internal/edge/store_reader.go
@@ -206,7 +206,6 @@
 		}
 		return !expired || lost
 	}
-	i.recordEpoch(kind, res.Listing)
 	if lost {
 		fields[logfield.Age] = (now - began).Milliseconds()
 		i.log.Event(viewClass, "source regained", fields)
@@ -219,18 +218,6 @@
 	return false
 }
 
-// recordEpoch logs a change of the store's epoch.
-func (i *Instance) recordEpoch(kind string, l objectstore.Listing) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if last, known := i.epochs[kind]; !known || last != l.Epoch {
-		i.log.Event(viewClass, "store epoch", logrus.Fields{
-			logfield.Kind: kind, logfield.Epoch: l.Epoch, logfield.Version: uint64(l.Version), logfield.HeldVersion: uint64(i.replica.Version(kind)),
-		})
-	}
-	i.epochs[kind] = l.Epoch
-}
-
 // countRead counts a read from a source of the replica.
 func (i *Instance) countRead(source, call string, err error) {
 	result := "ok"
--- a/internal/edge/telemetry.go
+++ b/internal/edge/telemetry.go
@@ -12,6 +12,7 @@
 	"guavaloom.example/guavaloom/internal/forwarding"
 	"guavaloom.example/guavaloom/internal/logfield"
 	"guavaloom.example/guavaloom/internal/metric"
+	"guavaloom.example/guavaloom/internal/objectstore"
 	"guavaloom.example/guavaloom/internal/service"
 	"guavaloom.example/guavaloom/internal/view"
 )
@@ -79,7 +80,7 @@
 type changeRecord struct {
 	target, source string
 	change         view.Change
-	version        uint64
+	version        objectstore.Version
 	// service, zone and addr are set if the target is known.
 	service service.ID
 	zone    string
@@ -92,7 +93,8 @@
 	l.Text(logfield.Target, r.target)
 	l.Text(logfield.Change, string(r.change))
 	l.Text(logfield.Source, r.source)
-	l.Number(logfield.Version, int64(r.version))
+	l.Number(logfield.Epoch, int64(r.version.Epoch()))
+	l.Number(logfield.Version, int64(r.version.Revision()))
 	if r.addr.IsValid() {
 		l.Text(logfield.Service, string(r.service))
 		l.Text(logfield.Zone, r.zone)
--- a/internal/explain/edge.go
+++ b/internal/explain/edge.go
@@ -24,6 +24,8 @@
 	Kind    string `json:"kind"`
 	Listed  bool   `json:"listed"`
 	Version uint64 `json:"version"`
+	// Epoch counts the restores of the store from an older copy up to the version.
+	Epoch uint64 `json:"store_epoch"`
 	// AgeMillis is the time since the replica was last known to match the store.
 	AgeMillis int64 `json:"age_ms"`
 }
--- a/internal/logfield/logfield.go
+++ b/internal/logfield/logfield.go
@@ -21,11 +21,12 @@
 	Config    = "config_version"
 	ConfigAge = "config_age_ms"
 	Count     = "count"
-	// Epoch counts the restores of the store from an older copy.
+	// Epoch counts the restores of the store from an older copy. HeldEpoch is that of the replica.
 	Epoch       = "store_epoch"
 	Error       = "error"
 	File        = "file"
 	Flow        = "flow"
+	HeldEpoch   = "held_epoch"
 	HeldVersion = "held_version"
 	Instance    = "instance"
 	Kind        = "kind"
--- a/internal/metric/names.go
+++ b/internal/metric/names.go
@@ -44,6 +44,8 @@
 	EdgeChangeAge     = Declaration{"guavaloom_edge_told_age_ms", "milliseconds", "Age of changes when they are received, by source (store or peer).", Histogram, "source"}
 	EdgeStaleLists    = Declaration{"guavaloom_edge_stale_lists_total", "lists", "Lists ignored because they were older than the replica, by source.", Counter, "source"}
 	EdgeConflicts     = Declaration{"guavaloom_edge_version_conflicts_total", "objects", "Objects ignored because their version was not above the one held, although their content differed, by kind.", Counter, "kind"}
+	EdgeRestores      = Declaration{"guavaloom_edge_store_restores_total", "restores", "Restores of the store from an older copy that the replica has followed, by kind.", Counter, "kind"}
+	EdgeStoreEpoch    = Declaration{"guavaloom_edge_store_epoch", "epochs", "Epoch of the store that the replica shows, by kind; 0 while only a list of unknown age is held.", Gauge, "kind"}
 	EdgeReady         = Declaration{"guavaloom_edge_ready", "boolean", "1 while the instance reports that it is ready.", Gauge, ""}
 	EdgeViewAge       = Declaration{"guavaloom_edge_view_age_ms", "milliseconds", "Time since the replica was last known to match the store, by kind of object.", Gauge, "kind"}
 	EdgeChanges       = Declaration{"guavaloom_edge_view_changes_total", "changes", "Changes of the view, by kind.", Counter, "change"}
--- a/internal/objectstore/store.go
+++ b/internal/objectstore/store.go
@@ -9,9 +9,6 @@
 	"guavaloom.example/guavaloom/internal/instance"
 )
 
-// Version is the version of an object or of the store; 0 means that there is none.
-type Version uint64
-
 // MaxValue is the size limit of an object's value in bytes.
 const MaxValue = 1 << 20
 
@@ -29,9 +26,6 @@
 type Listing struct {
 	Version Version  `json:"version"`
 	Objects []Object `json:"objects"`
-	// Epoch counts the restores of the store from an older copy, after which versions are
-	// given out again. 0 if the store does not report it.
-	Epoch uint64 `json:"epoch,omitempty"`
 	// Age is the maximum age of the state if a replica answers in place of the store.
 	Age time.Duration `json:"age,omitempty"`
 	// SinceOutage is the time since a call to the store last failed, at the instance that
--- a/internal/replica/frame.go
+++ b/internal/replica/frame.go
@@ -87,7 +87,7 @@
 			continue // already received from another source
 		}
 		if held.Version != d.Base {
-			return errors.Errorf("%s: delta is based on version %d, held is %d", d.Key, d.Base, held.Version)
+			return errors.Errorf("%s: delta is based on version %s, held is %s", d.Key, d.Base, held.Version)
 		}
 		value, err := patch(held.Value, d.Parts)
 		if err != nil {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -90,11 +90,16 @@
 	Outage bool
 	// First is set for the first list of the kind.
 	First bool
-	// Stale is set if the list was older than the copy and was ignored.
+	// Stale is set if the answer was older than the copy and was ignored.
 	Stale bool
+	// Restored is set if the answer is the first one from after a restore of the store from an
+	// older copy. Its objects may be older than those of the copy.
+	Restored bool
 	// Conflicts are objects that were ignored because their version was not above the one
 	// held, although their content differs from it.
 	Conflicts []objectstore.Object
+	// versionsChanged is set if the version of any object changed.
+	versionsChanged bool
 }
 
 // ApplyList applies a list of all objects of a kind, unless it is older than the copy. The
@@ -107,7 +112,7 @@
 		return Update{Stale: true}
 	}
 	k.updates++
-	u := Update{First: !k.listed, Outage: r.recordReportedOutage(now, l)}
+	u := Update{First: !k.listed, Restored: k.beginEpoch(l.Version), Outage: r.recordReportedOutage(now, l)}
 	present := make(map[string]bool, len(l.Objects))
 	for _, o := range l.Objects {
 		present[o.Key] = true
@@ -116,6 +121,7 @@
 	for key := range k.objects {
 		if !present[key] {
 			u.Objects = append(u.Objects, k.remove(key, l.Version))
+			u.versionsChanged = true
 		}
 	}
 	if u.First {
@@ -124,27 +130,34 @@
 		k.freshAt = min(now-l.Age, now) // may lie before the start of the process
 	}
 	k.listed = true
-	r.advance(k, l.Version, min(now-l.Age, now), len(u.Objects) > 0 || u.First)
+	r.advance(k, l.Version, min(now-l.Age, now), u.versionsChanged || u.First)
 	return sortedByVersion(u)
 }
 
-// ApplyEvents applies the changes after the copy's version that a source sent.
+// ApplyEvents applies the changes after the copy's version that a source sent. Changes from
+// before a restore of the store are ignored if the copy is from after it.
 func (r *Replica) ApplyEvents(now time.Duration, name string, l objectstore.Listing) Update {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	k := r.kinds[name]
-	k.updates++
 	u := Update{Outage: r.recordReportedOutage(now, l)}
+	if k.listed && l.Version.Epoch() < k.version.Epoch() {
+		u.Stale = true
+		return u
+	}
+	u.Restored = k.beginEpoch(l.Version)
+	k.updates++
 	for _, o := range l.Objects {
 		if o.Deleted {
 			if old, ok := k.objects[o.Key]; ok && o.Version >= old.Version {
 				u.Objects = append(u.Objects, k.remove(o.Key, o.Version))
+				u.versionsChanged = true
 			}
 			continue
 		}
 		k.apply(o, &u)
 	}
-	r.advance(k, l.Version, min(now-l.Age, now), len(u.Objects) > 0)
+	r.advance(k, l.Version, min(now-l.Age, now), u.versionsChanged)
 	return sortedByVersion(u)
 }
 
@@ -153,13 +166,32 @@
 	return u
 }
 
-// apply stores an object if it is newer than the copy's, and adds it to the update.
+// beginEpoch prepares the copy for an answer with a version, and reports whether the answer is
+// the first one from after a restore of the store. Epoch 0 is a first list of unknown age,
+// which proves no restore. What was recorded of earlier epochs is discarded: the copy does not
+// know what the store lost, so that it can't tell a follower that was not there what to remove.
+func (k *kindState) beginEpoch(v objectstore.Version) (restored bool) {
+	if !k.listed || v.Epoch() <= k.version.Epoch() {
+		return false
+	}
+	clear(k.tombstones)
+	k.tombstoneFloor = v
+	k.log, k.logFloor = nil, v
+	return k.version.Epoch() > 0
+}
+
+// apply stores an object if it is newer than the copy's, and adds it to the update. An object
+// that a restored store still has only gets its version in the new epoch.
 func (k *kindState) apply(o objectstore.Object, u *Update) {
-	held := k.objects[o.Key]
+	held, exists := k.objects[o.Key]
+	same := exists && bytes.Equal(held.Value, o.Value)
 	switch {
 	case k.put(o):
-		u.Objects = append(u.Objects, o)
-	case held.Version == o.Version && !bytes.Equal(held.Value, o.Value):
+		u.versionsChanged = true
+		if !same || held.Version.Epoch() == o.Version.Epoch() {
+			u.Objects = append(u.Objects, o)
+		}
+	case held.Version == o.Version && !same:
 		u.Conflicts = append(u.Conflicts, o)
 	}
 }
@@ -268,6 +300,16 @@
 	return r.kinds[name].version
 }
 
+// Get returns an object of a kind and the version of the kind's copy; ok is false if the copy
+// does not have the object.
+func (r *Replica) Get(name, key string) (o objectstore.Object, version objectstore.Version, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k := r.kinds[name]
+	o, ok = k.objects[key]
+	return o, k.version, ok
+}
+
 // Kinds returns the names of the kinds, in order.
 func (r *Replica) Kinds() []string { return slices.Sorted(maps.Keys(r.kinds)) }
 
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// followPath is the HTTP path at which instances follow a replica.
-	followPath = "/v3/follow"
+	// followPath is the HTTP path at which instances follow a replica. It changes with the
+	// meaning of the messages, so that instances of different meaning don't follow each other.
+	followPath = "/v4/follow"
 	// minLinkRate is the rate in bytes a second at which a follower must receive a message:
 	// a tenth of the users' slowest link.
 	minLinkRate = 125_000
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -29,6 +29,7 @@
 
 	limits        Limits
 	config        Config
+	configEpoch   uint64 // of the store from which the configuration was read
 	routes        map[Endpoint]*Route
 	targetsListed bool // the targets have been listed at least once
 
@@ -49,12 +50,15 @@
 // Config returns the configuration; Version is 0 when there is none.
 func (v *View) Config() *Config { return &v.config }
 
-// SetConfig replaces the configuration. It returns false for one that is not newer.
-func (v *View) SetConfig(c Config) bool {
-	if c.Version <= v.config.Version {
+// SetConfig replaces the configuration by one that was read in an epoch of the store. It
+// returns false for one that is not newer. The operator's version decides, since a restored
+// store may hold an earlier one until the operator has written again; of two with one
+// version, the one confirmed after the restore counts.
+func (v *View) SetConfig(c Config, epoch uint64) bool {
+	if c.Version < v.config.Version || c.Version == v.config.Version && epoch <= v.configEpoch {
 		return false
 	}
-	v.config = c
+	v.config, v.configEpoch = c, epoch
 	v.routes = make(map[Endpoint]*Route, len(c.Routes))
 	for i := range c.Routes {
 		v.routes[c.Routes[i].Endpoint] = &c.Routes[i]
