replica: a follower checks the number of objects with each message

What callers saw: nothing yet; found by the test of this commit.

Cause: a source tells a follower what changed since a version by what it saw itself. An object that was created and removed between two of its lists, or that a restored store lost, is in none of its records; a follower that knows the object from another source kept it, as a target or an instance that is gone. The count of objects was only sent when the source knew that its records do not go back far enough, and not at all when it held none.

Change: each message of changes carries the count. A follower that is not ahead of the source and comes to another number requests all objects.

--- a/internal/replica/frame.go
+++ b/internal/replica/frame.go
@@ -16,9 +16,8 @@
 	// Full marks a listing of all objects of the kind.
 	Full bool
 	objectstore.Listing
-	// Count is the number of objects that the follower holds after applying the frame. It is
-	// set only if the sender does not know which objects were removed since the follower's
-	// version; else 0.
+	// Count is the number of objects that the sender holds. A follower that has another number
+	// after applying the frame holds objects whose removal the sender does not know of.
 	Count int
 	// Deltas are further changes, as differences from objects that the follower holds.
 	Deltas []Delta
@@ -36,13 +35,13 @@
 	defer r.mu.Unlock()
 	f = Frame{Kind: name, Full: after == 0}
 	f.Listing, err = r.changes(now, name, after)
+	k := r.kinds[name]
 	if errors.Is(err, objectstore.ErrExpired) {
-		f.Objects = r.kinds[name].objectsAfter(after)
-		f.Count = len(r.kinds[name].objects)
+		f.Objects = k.objectsAfter(after)
 	} else if err != nil {
 		return f, 0, err
 	}
-	k := r.kinds[name]
+	f.Count = len(k.objects)
 	if !f.Full {
 		f.Objects = slices.DeleteFunc(f.Objects, func(o objectstore.Object) bool {
 			d, ok := k.delta(o, after)
@@ -96,17 +95,24 @@
 		f.Objects = append(f.Objects, objectstore.Object{Key: d.Key, Version: d.Version, Value: value})
 	}
 	f.Deltas = nil
-	if f.Count > 0 && k.countAfterAdding(f.Objects) != f.Count {
-		return errors.Errorf("%s: number of objects differs from the sender's: it has no record of some removals", f.Kind)
+	if f.Full || f.Version < k.version {
+		return nil // the follower may hold later changes than the sender
+	}
+	if n := k.countAfter(f.Objects); n != f.Count {
+		return errors.Errorf("%s: %d objects after the changes, the sender holds %d: it has no record of some removals", f.Kind, n, f.Count)
 	}
 	return nil
 }
 
-// countAfterAdding returns the number of objects that the kind would have with more added.
-func (k *kindState) countAfterAdding(more []objectstore.Object) int {
+// countAfter returns the number of objects that the kind would have after some changes.
+func (k *kindState) countAfter(changes []objectstore.Object) int {
 	n := len(k.objects)
-	for _, o := range more {
-		if _, held := k.objects[o.Key]; !held {
+	for _, o := range changes {
+		_, held := k.objects[o.Key]
+		switch {
+		case o.Deleted && held:
+			n--
+		case !o.Deleted && !held:
 			n++
 		}
 	}
--- a/internal/replica/restore_test.go
+++ b/internal/replica/restore_test.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"maps"
+	"math/rand"
 	"testing"
 	"time"
 
@@ -99,3 +101,99 @@
 		must.Eq(t, map[string]string{"k/a": "new", "k/again": "again"}, held(t, follower))
 	}
 }
+
+// Load pattern: the store is restored several times, and instances hold states of different
+// epochs and exchange them in any order. Guards against copies that differ in the end.
+func TestCopiesAgreeAfterRestores(t *testing.T) {
+	for seed := range int64(300) {
+		rng := rand.New(rand.NewSource(seed))
+		s := &restorableStore{t: t, epoch: 1, objects: map[string]objectstore.Object{}}
+		copies := []*Replica{New("k"), New("k"), New("k")}
+		for range 60 {
+			switch r := copies[rng.Intn(len(copies))]; rng.Intn(6) {
+			case 0:
+				s.restore(rng)
+			case 1, 2:
+				s.change(rng)
+			case 3:
+				r.ApplyList(0, "k", s.list())
+			default:
+				exchange(t, copies[rng.Intn(len(copies))], r)
+			}
+		}
+		copies[0].ApplyList(0, "k", s.list())
+		exchange(t, copies[0], copies[1])
+		exchange(t, copies[1], copies[2])
+		exchange(t, copies[2], copies[0])
+		for n, r := range copies {
+			must.Eq(t, s.values(), held(t, r), must.Sprintf("seed %d, copy %d", seed, n))
+		}
+	}
+}
+
+// exchange brings a follower up to date from a source, as instances do.
+func exchange(t *testing.T, source, follower *Replica) {
+	t.Helper()
+	after := follower.Version("k")
+	for {
+		f, _, err := source.frame(0, "k", after)
+		if err != nil || source == follower {
+			return // the source holds nothing yet
+		}
+		if follower.ExpandDeltas(&f) != nil {
+			after = 0
+			continue
+		}
+		if f.Full {
+			follower.ApplyList(0, "k", f.Listing)
+		} else {
+			follower.ApplyEvents(0, "k", f.Listing)
+		}
+		return
+	}
+}
+
+// restorableStore is a store that keeps copies of its states.
+type restorableStore struct {
+	t               *testing.T
+	epoch, revision uint64
+	objects         map[string]objectstore.Object
+	copies          []restorableStore
+}
+
+func (s *restorableStore) list() objectstore.Listing {
+	l := listing(at(s.t, s.epoch, s.revision))
+	for _, o := range s.objects {
+		l.Objects = append(l.Objects, valued(o.Key, at(s.t, s.epoch, o.Version.Revision()), string(o.Value)))
+	}
+	return l
+}
+
+func (s *restorableStore) values() map[string]string {
+	values := map[string]string{}
+	for key, o := range s.objects {
+		values[key] = string(o.Value)
+	}
+	return values
+}
+
+func (s *restorableStore) change(rng *rand.Rand) {
+	s.copies = append(s.copies, restorableStore{revision: s.revision, objects: maps.Clone(s.objects)})
+	s.revision++
+	key := "k/" + string(rune('a'+rng.Intn(6)))
+	if _, exists := s.objects[key]; exists && rng.Intn(3) == 0 {
+		delete(s.objects, key)
+		return
+	}
+	s.objects[key] = valued(key, at(s.t, s.epoch, s.revision), string(rune('A'+rng.Intn(4))))
+}
+
+func (s *restorableStore) restore(rng *rand.Rand) {
+	if len(s.copies) == 0 {
+		return
+	}
+	n := rng.Intn(len(s.copies))
+	s.epoch++
+	s.revision, s.objects = s.copies[n].revision, maps.Clone(s.copies[n].objects)
+	s.copies = s.copies[:n]
+}
