view: what a restored store says of a target yields to its later word

Cause: a restored store lists what targets wrote before the copy was made. A target that drains or has left was listed as ready and took new flows again until it wrote again or its entry expired; one that started since was missing and took none; one that had warmed up counted as just started.

Change: the first answer of an epoch is compared with the view by the targets' own order of their writes, start time and sequence. What contradicts the view is kept as a claim. The next write of the target or the expiry of its entry replaces the claim; else it takes effect after the return grace (a missing entry) or after three heartbeats and 1 s (an entry that would have expired). An instance whose entry the store lost stays known.

--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -46,7 +46,7 @@
 		i.forward.View.OutageAt = now
 	}
 	for _, o := range u.Objects {
-		i.applyObject(now, kind, source, o)
+		i.applyObject(now, kind, source, o, u.Restored)
 	}
 	switch kind {
 	case i.platform.ConfigKind:
@@ -89,16 +89,18 @@
 	}
 }
 
-func (i *Instance) applyObject(now time.Duration, kind, source string, o objectstore.Object) {
+// applyObject applies a change to the view. restored means that it is from the first answer
+// of a restored store, which may show an older state than the view.
+func (i *Instance) applyObject(now time.Duration, kind, source string, o objectstore.Object, restored bool) {
 	defer i.recoverPanic("entry")
 	_, name, _ := strings.Cut(o.Key, "/")
 	switch kind {
 	case i.platform.ConfigKind:
 		i.applyConfig(name, source, o)
 	case i.platform.TargetKind:
-		i.applyTarget(now, name, source, o)
+		i.applyTarget(now, name, source, o, restored)
 	case i.platform.InstanceKind:
-		i.applyInstance(name, o)
+		i.applyInstance(name, o, restored)
 	}
 }
 
@@ -127,27 +129,45 @@
 	i.log.Event(viewClass, "configuration", fields)
 }
 
-func (i *Instance) applyTarget(now time.Duration, name, source string, o objectstore.Object) {
-	t, change := i.updateTarget(now, name, o)
+func (i *Instance) applyTarget(now time.Duration, name, source string, o objectstore.Object, restored bool) {
+	t, change := i.updateTarget(now, name, o, restored)
 	if change != view.Unchanged {
 		i.reportTarget(name, source, o.Version, t, change)
 	}
 }
 
 // updateTarget applies a change of a target's entry to the view.
-func (i *Instance) updateTarget(now time.Duration, name string, o objectstore.Object) (*view.Target, view.Change) {
+func (i *Instance) updateTarget(now time.Duration, name string, o objectstore.Object, restored bool) (*view.Target, view.Change) {
 	v, id, version := i.forward.View, target.ID(name), uint64(o.Version)
 	if o.Deleted {
+		if restored {
+			v.RemoveRestored(now, id, version)
+			return nil, view.Unchanged
+		}
 		return v.Remove(now, id, version)
 	}
 	e, err := i.platform.Entries.Target(name, o.Value)
 	if err != nil {
 		i.reportUnreadable(i.platform.TargetKind, name, err)
+		if restored {
+			v.PutUnreadableRestored(now, id, version)
+			return nil, view.Unchanged
+		}
 		return nil, v.PutUnreadable(id, version)
 	}
+	if restored {
+		return v.PutRestored(now, e, version)
+	}
 	return v.Put(now, e, version)
 }
 
+// settleTargets applies what a restored store says of targets that did not write again.
+func (i *Instance) settleTargets(now time.Duration) {
+	i.forward.View.Settle(now, func(t *view.Target, change view.Change) {
+		i.reportTarget(string(t.ID), restoredSource, objectstore.Version(t.Version), t, change)
+	})
+}
+
 // reportTarget logs and counts a change of a target and passes it to the forwarder. t is nil
 // if the target's entry can't be read.
 func (i *Instance) reportTarget(name, source string, version objectstore.Version, t *view.Target, change view.Change) {
@@ -165,9 +185,11 @@
 	i.log.Event(viewClass, "entry unreadable", logrus.Fields{logfield.Kind: kind, logfield.Target: name, logfield.Error: err.Error()})
 }
 
-func (i *Instance) applyInstance(name string, o objectstore.Object) {
+func (i *Instance) applyInstance(name string, o objectstore.Object, restored bool) {
 	if o.Deleted {
-		i.registry.remove(name)
+		if !restored { // else the instance registers again, and serves meanwhile
+			i.registry.remove(name)
+		}
 		return
 	}
 	zone, addr, err := i.platform.Entries.Instance(o.Value)
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -308,6 +308,7 @@
 func (i *Instance) tick() {
 	now := i.now()
 	i.mu.Lock()
+	i.settleTargets(now)
 	resets := i.forward.Tick(now)
 	i.counters.flows.Update(float64(i.forward.Flows()))
 	i.logReadinessChange()
--- a/internal/edge/restore_test.go
+++ b/internal/edge/restore_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"net/http"
+	"slices"
+	"strings"
 	"testing"
 
+	"github.com/shoenig/test/must"
+
 	"guavaloom.example/guavaloom/internal/view"
+	"guavaloom.example/guavaloom/platform"
 	"guavaloom.example/guavaloom/platform/standin"
 )
 
@@ -81,9 +86,41 @@
 	awaitConfig(t, 4, one, two)
 	for _, n := range []*node{one, two} {
 		eventually(t, "the drain", func() bool { return n.targetState("i-a1") == "draining" })
+		must.Eq(t, "ready", n.targetState("i-a2"))
 	}
 }
 
+// Guards against a target that drains or has left and takes new flows again, and against a
+// target lost from the store that takes none, until the targets have written again.
+func TestTargetsUntilTheyWriteAgain(t *testing.T) {
+	s := newSite(t)
+	draining := s.target("i-a1", 0xa1)
+	s.target("i-a2", 0xa2)
+	one := s.start(1, s.store.Addr())
+	one.awaitReady()
+	older := s.store.Copy()
+	draining.Register(s.store, "draining")
+	s.store.RemoveTarget("i-a2")
+	s.target("i-a3", 0xa3)
+	eventually(t, "the three changes", func() bool {
+		return one.targetState("i-a1") == "draining" && one.targetState("i-a2") != "ready" && one.targetState("i-a3") == "ready"
+	})
+	s.store.Restore(older)
+	s.store.CutConnections()
+	eventually(t, "the restore", func() bool {
+		return strings.Contains(one.log.String(), `"kind":"servers","level":"info","msg":"store was restored"`)
+	})
+	must.Eq(t, "draining", one.targetState("i-a1"))
+	must.NotEq(t, "ready", one.targetState("i-a2"))
+	must.Eq(t, "ready", one.targetState("i-a3"))
+	s.store.WriteAgain()
+	eventually(t, "the present state", func() bool {
+		return slices.Equal(s.store.Names(platform.TargetKind), []string{"i-a1", "i-a3"}) && one.targetState("i-a2") == "ended"
+	})
+	must.Eq(t, "draining", one.targetState("i-a1"))
+	must.Eq(t, "ready", one.targetState("i-a3"))
+}
+
 // Load pattern: instances start while the store was restored and its operator has not written
 // again; the copy from which they read first is from before the restore. Guards against a view
 // that stays at the older configuration, or at a revision that the store does not have.
--- a/internal/edge/store_reader.go
+++ b/internal/edge/store_reader.go
@@ -49,6 +49,8 @@
 const (
 	storeSource = "store"
 	peerSource  = "peer"
+	// restoredSource is the source of changes that a restored store showed earlier.
+	restoredSource = "restored"
 )
 
 // startReading starts the goroutines that keep the replica up to date and register the
--- a/internal/edge/timing.go
+++ b/internal/edge/timing.go
@@ -57,7 +57,8 @@
 	// minReturnGrace covers the 2 s in which, as the users state, entries that expired
 	// during a store outage return, and their propagation through store and instances.
 	minReturnGrace = 3 * time.Second
-	// returnGraceMargin is the part of the return grace beyond the heartbeats.
+	// returnGraceMargin is the part of the return grace and of the restore grace beyond the
+	// heartbeats.
 	returnGraceMargin = time.Second
 	// callsDivisor limits one instance to a hundredth of the store's rate limit for all
 	// instances, between minCallsPerSecond and maxCallsPerSecond.
@@ -128,6 +129,8 @@
 	t.Forwarding.MaxConfigAge = t.WatchWait + 3*t.WatchSlack
 	// A target whose entry was lost writes it again at one of its next two heartbeats.
 	t.View.ReturnGrace = max(minReturnGrace, fraction(d.Heartbeat, 5.0/3)+returnGraceMargin)
+	// A target whose entry is not renewed for three heartbeats is removed from the store.
+	t.View.RestoreGrace = max(t.View.ReturnGrace, 3*d.Heartbeat+returnGraceMargin)
 	t.View.ForgetAfter = fraction(d.MaxFlow, 1.5)
 	return t
 }
--- a/internal/view/types.go
+++ b/internal/view/types.go
@@ -102,11 +102,20 @@
 	Draining bool
 	// WarmUp is the remaining time for which the target is slow after its start.
 	WarmUp time.Duration
+	// Sequence counts what the target wrote since its start.
+	Sequence uint64
 	// Incarnation is the start time of the target's process in Unix milliseconds, which
 	// changes when it restarts under the same ID. 0 if not given.
 	Incarnation int64
 }
 
+// sameExceptCounts reports whether two entries differ at most in what counts by itself.
+func (e *TargetEntry) sameExceptCounts(other *TargetEntry) bool {
+	a, b := *e, *other
+	a.Sequence, a.WarmUp = b.Sequence, b.WarmUp
+	return a == b
+}
+
 // Target is a target as the view knows it.
 type Target struct {
 	TargetEntry
@@ -124,6 +133,8 @@
 	// Removed marks a target whose entry was found removed, at RemovedAt.
 	Removed   bool
 	RemovedAt time.Duration
+
+	claim *claim // of a restored store; nil if none
 }
 
 // String returns "SERVICE/ID" for logs.
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -14,6 +14,10 @@
 	// only because the store was unavailable. An instance can learn of the removal without
 	// having noticed the outage.
 	ReturnGrace time.Duration
+	// RestoreGrace is how long what a restored store says of a target does not count if the view
+	// knows something later. It exceeds the time after which the entry of a target that has
+	// ended expires.
+	RestoreGrace time.Duration
 	// ForgetAfter is how long a removed target stays known. It exceeds the longest lifetime
 	// of a flow.
 	ForgetAfter time.Duration
@@ -96,13 +100,26 @@
 	if t != nil && version <= t.Version {
 		return t, Unchanged
 	}
+	if t == nil {
+		t = v.add(e)
+		t.Version, t.WarmAt = version, now+e.WarmUp
+		return t, Joined
+	}
+	t.Version, t.claim = version, nil
+	return t, v.update(now, t, e)
+}
+
+func (v *View) add(e TargetEntry) *Target {
+	t := &Target{TargetEntry: e, Token: TokenOf(e.ID)}
+	v.targets[e.ID] = t
+	v.assignToken(t)
+	return t
+}
+
+// update replaces a target's entry.
+func (v *View) update(now time.Duration, t *Target, e TargetEntry) Change {
 	change := Updated
 	switch {
-	case t == nil:
-		change = Joined
-		t = &Target{TargetEntry: e, Token: TokenOf(e.ID)}
-		v.targets[e.ID] = t
-		v.assignToken(t)
 	case t.Incarnation != e.Incarnation:
 		change = Restarted
 	case t.Removed:
@@ -110,10 +127,10 @@
 	case e.Draining && !t.Draining:
 		change = DrainStarted
 	}
-	t.TargetEntry, t.Version = e, version
+	t.TargetEntry = e
 	t.WarmAt = now + e.WarmUp
 	t.Unreadable, t.Removed = false, false
-	return t, change
+	return change
 }
 
 // PutUnreadable records that a target's entry can't be decoded.
@@ -122,19 +139,26 @@
 	if t == nil || version <= t.Version {
 		return Unchanged
 	}
-	t.Version, t.Unreadable = version, true
+	t.Version, t.Unreadable, t.claim = version, true, nil
 	return Unreadable
 }
 
 // Remove records that a target's entry was removed.
 func (v *View) Remove(now time.Duration, id target.ID, version uint64) (*Target, Change) {
 	t := v.targets[id]
-	if t == nil || t.Removed || version < t.Version {
+	if t == nil || version < t.Version {
 		return t, Unchanged
 	}
+	t.Version, t.claim = version, nil
+	return t, v.remove(now, t)
+}
+
+func (v *View) remove(now time.Duration, t *Target) Change {
+	if t.Removed {
+		return Unchanged
+	}
 	t.Removed, t.RemovedAt = true, now
-	t.Version = version
-	return t, Removed
+	return Removed
 }
 
 // Target returns a target by its ID, or nil.
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -11,7 +11,7 @@
 )
 
 // limits are those of the users' first deployments.
-var limits = Limits{ReturnGrace: 3 * time.Second, ForgetAfter: 90 * time.Second}
+var limits = Limits{ReturnGrace: 3 * time.Second, RestoreGrace: 4600 * time.Millisecond, ForgetAfter: 90 * time.Second}
 
 func entry(id target.ID) TargetEntry {
 	return TargetEntry{ID: id, Key: 1, Service: "booking", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Zone: "a", Slots: 3}
