edge: an instance registers again after its entry was lost

An instance that was added shortly before a restore stays unknown to the others until it is restarted: nobody follows or asks it, and the load of its data centre is shared as if it were not there.

Cause: an instance wrote its entry once, at its start, and took it for kept.

Change: it checks in its replica, without a call, that its entry is there as it wrote it, and writes it again else. A replica that is older than the last write proves nothing.

TestRegistrationAfterRestore fails without it (not seen within 60 s) and passes with it, over two restores.

--- a/internal/edge/registration.go
+++ b/internal/edge/registration.go
@@ -10,45 +10,70 @@
 	"guavaloom.example/guavaloom/internal/objectstore"
 )
 
-// registerRetryDelay is the delay between attempts to register.
-const registerRetryDelay = 2 * time.Second
+const (
+	// registerRetryDelay is the delay between attempts to register.
+	registerRetryDelay = 2 * time.Second
+	// registrationCheckInterval is the mean interval at which an instance checks that its entry
+	// is in the store, in its replica and thus without a call.
+	registrationCheckInterval = time.Second
+)
+
+// registration is an instance's own entry in the store.
+type registration struct {
+	key   string
+	value []byte
+	// written is the version of the last successful write.
+	written objectstore.Version
+}
 
-// ensureRegistered writes the instance's entry into the store unless it is already
-// there, as after a restart.
-func (i *Instance) ensureRegistered(ctx context.Context) {
-	name, kind := i.settings.Name, i.platform.InstanceKind
+// keepRegistered writes the instance's entry into the store whenever it is not there: at the
+// first start, and after the store was restored from a copy without it.
+func (i *Instance) keepRegistered(ctx context.Context) {
 	value, err := i.platform.Entries.InstanceValue(i.settings.Zone, i.settings.Peer)
 	if err != nil {
 		i.log.Event(viewClass, "not registered", logrus.Fields{logfield.Error: err.Error()})
 		return
 	}
+	r := &registration{key: i.platform.InstanceKind + "/" + i.settings.Name, value: value}
+	rng := newRand()
 	for ctx.Err() == nil {
-		l, err := i.replica.Changes(i.now(), kind, 0)
-		if err != nil {
-			sleep(ctx, retryDelay) // the instances are not listed yet
-			continue
-		}
-		expect, same := i.registered(l, kind, name)
-		if same {
-			return
+		switch expect, missing := i.missingRegistration(r); {
+		case !i.listed(i.platform.InstanceKind):
+			sleep(ctx, retryDelay)
+		case !missing:
+			sleep(ctx, time.Duration((0.5+rng.Float64())*float64(registrationCheckInterval)))
+		case !i.register(ctx, r, expect):
+			sleep(ctx, registerRetryDelay)
 		}
-		if _, err = i.platform.Store.Put(ctx, kind+"/"+name, value, expect); err == nil {
-			i.log.Event(viewClass, "registered", logrus.Fields{logfield.Address: i.settings.Peer.String()})
-			return
-		}
-		i.log.Event(viewClass, "registration failed, will be retried", logrus.Fields{logfield.Error: err.Error()})
-		sleep(ctx, registerRetryDelay)
 	}
 }
 
-// registered returns the version of the instance's entry and whether its content is current.
-func (i *Instance) registered(l objectstore.Listing, kind, name string) (objectstore.Version, bool) {
-	for _, o := range l.Objects {
-		if o.Key != kind+"/"+name {
-			continue
-		}
-		zone, addr, err := i.platform.Entries.Instance(o.Value)
-		return o.Version, err == nil && zone == i.settings.Zone && addr == i.settings.Peer
+// missingRegistration reports whether the replica lacks the current entry although it is as
+// new as the last write, and the version of the entry to replace.
+func (i *Instance) missingRegistration(r *registration) (expect objectstore.Version, missing bool) {
+	o, listed, ok := i.replica.Get(i.platform.InstanceKind, r.key)
+	if listed < r.written {
+		return 0, false // the write has not arrived yet
+	}
+	return o.Version, !ok || !i.isOwnEntry(o)
+}
+
+// isOwnEntry reports whether an entry has the instance's data centre and address.
+func (i *Instance) isOwnEntry(o objectstore.Object) bool {
+	zone, addr, err := i.platform.Entries.Instance(o.Value)
+	return err == nil && zone == i.settings.Zone && addr == i.settings.Peer
+}
+
+// register writes the entry and reports whether the store accepted it.
+func (i *Instance) register(ctx context.Context, r *registration, expect objectstore.Version) bool {
+	version, err := i.platform.Store.Put(ctx, r.key, r.value, expect)
+	if err != nil {
+		i.log.Event(viewClass, "registration failed, will be retried", logrus.Fields{logfield.Error: err.Error()})
+		return false
 	}
-	return 0, false
+	r.written = version
+	i.log.Event(viewClass, "registered", logrus.Fields{
+		logfield.Address: i.settings.Peer.String(), logfield.Epoch: version.Epoch(), logfield.Version: version.Revision(),
+	})
+	return true
 }
--- a/internal/edge/restore_test.go
+++ b/internal/edge/restore_test.go
@@ -63,6 +63,28 @@
 	}
 }
 
+// Guards against an instance that is missing from the list of instances after the store was
+// restored from a copy that was made before it registered.
+func TestRegistrationAfterRestore(t *testing.T) {
+	s := newSite(t)
+	one := s.start(1, s.store.Addr())
+	one.awaitReady()
+	registered := func(n *node) func() bool {
+		return func() bool { return slices.Contains(s.store.Names(platform.InstanceKind), n.settings.Name) }
+	}
+	eventually(t, "the first entry", registered(one))
+	older := s.store.Copy()
+	two := s.start(2, s.store.Addr(), one.settings.Peer)
+	two.awaitReady()
+	eventually(t, "the second entry", registered(two))
+	for range 2 { // restores in series
+		s.restore(older)
+		must.False(t, registered(two)())
+		eventually(t, "the second entry, written again", registered(two))
+		must.True(t, registered(one)())
+	}
+}
+
 // Guards against an instance that missed the restore because the store does not serve it, and
 // that keeps its state from before or passes it on.
 func TestInstanceThatMissedTheRestore(t *testing.T) {
--- a/internal/edge/store_reader.go
+++ b/internal/edge/store_reader.go
@@ -62,7 +62,7 @@
 	}
 	go i.followParent(ctx)
 	go i.queryPeers(ctx)
-	go i.ensureRegistered(ctx)
+	go i.keepRegistered(ctx)
 }
 
 // readStore lists and watches a kind in the store while this instance should read it.
