objectstore: versions of the own API differ over restores

A reader of bundles whose revision a restored store has again went on with its watch and missed the changes below it for up to 30 s (relistInterval), and a conditional change passed on a revision that another content had.

Change: the header Store-Epoch counts the restores, a Version has the epoch, and calls carry it; both sides do without it, as an older build does. The stand-in begins a new epoch with each Restore.

TestRevisionsAreGivenOutAgain fails without the epochs and passes with them.

--- a/internal/objectstore/client.go
+++ b/internal/objectstore/client.go
@@ -79,19 +79,35 @@
 
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, key string) (Object, error) {
-	var o Object
-	err := c.retry(ctx, http.MethodGet, objectPath(key), nil, &o)
-	if err == nil && (o.Key != key || o.Version == 0) {
-		return Object{}, errors.Wrapf(ErrUnavailable, "response is for key %q version %d", o.Key, o.Version)
+	var w WireObject
+	epoch, err := c.retry(ctx, http.MethodGet, objectPath(key), nil, &w)
+	if err != nil {
+		return Object{}, err
+	}
+	o, err := w.object(epoch)
+	if err != nil || o.Key != key || w.Revision == 0 {
+		return Object{}, errors.Wrapf(ErrUnavailable, "response is for key %q version %s", o.Key, o.Version)
 	}
-	return o, err
+	return o, nil
 }
 
 // List implements Store.
 func (c *Client) List(ctx context.Context, prefix string) (Listing, error) {
-	var l Listing
-	err := c.retry(ctx, http.MethodGet, "/v1/objects?prefix="+url.QueryEscape(prefix), nil, &l)
-	return l, err
+	var w WireListing
+	epoch, err := c.retry(ctx, http.MethodGet, "/v1/objects?prefix="+url.QueryEscape(prefix), nil, &w)
+	if err != nil {
+		return Listing{}, err
+	}
+	return readListing(w, epoch)
+}
+
+// readListing returns a listing of a response, or ErrUnavailable if its versions are invalid.
+func readListing(w WireListing, epoch uint64) (Listing, error) {
+	l, err := w.listing(epoch)
+	if err != nil {
+		return Listing{}, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	return l, nil
 }
 
 // Put implements Store. It is retried only if no attempt can have taken effect.
@@ -102,40 +118,48 @@
 	if value == nil {
 		value = []byte{}
 	}
-	var answer struct {
-		Version Version `json:"version"`
+	var answer WireVersion
+	epoch, err := c.retry(ctx, http.MethodPut, versionPath(key, expect), value, &answer)
+	if err != nil {
+		return 0, err
 	}
-	err := c.retry(ctx, http.MethodPut, versionPath(key, expect), value, &answer)
-	if err == nil && answer.Version == 0 {
-		return 0, errors.Wrap(ErrUnknown, "response has no version")
+	v, err := NewVersion(epoch, answer.Revision)
+	if err != nil || answer.Revision == 0 {
+		return 0, errors.Wrap(ErrUnknown, "response has no valid version")
 	}
-	return answer.Version, err
+	return v, nil
 }
 
 // Delete implements Store.
 func (c *Client) Delete(ctx context.Context, key string, expect Version) error {
-	return c.retry(ctx, http.MethodDelete, versionPath(key, expect), nil, nil)
+	_, err := c.retry(ctx, http.MethodDelete, versionPath(key, expect), nil, nil)
+	return err
 }
 
 // Watch implements Store. A watch that is not answered within its wait plus Liveness
 // returns ErrExpired, so that the caller lists again. It is not retried.
 func (c *Client) Watch(ctx context.Context, prefix string, after Version, wait time.Duration) (Listing, error) {
-	q := url.Values{"prefix": {prefix}, "after": {strconv.FormatUint(uint64(after), 10)},
-		"wait": {strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)}}
-	var l Listing
+	q := url.Values{"prefix": {prefix}, "wait": {strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)}}
+	setVersion(q, afterParam, after)
+	var w WireListing
 	live, cancel := context.WithTimeout(ctx, wait+c.cfg.Liveness)
 	defer cancel()
-	err := c.attempt(live, http.MethodGet, "/v1/objects?"+q.Encode(), nil, &l)
-	if err != nil && live.Err() != nil && ctx.Err() == nil {
+	epoch, err := c.attempt(live, http.MethodGet, "/v1/objects?"+q.Encode(), nil, &w)
+	switch {
+	case err != nil && live.Err() != nil && ctx.Err() == nil:
 		return Listing{}, errors.Wrap(ErrExpired, "watch was not answered within its deadline")
+	case err != nil:
+		return Listing{}, err
+	case epoch != after.Epoch():
+		return Listing{}, errors.Wrapf(ErrExpired, "watch from epoch %d was answered in epoch %d", after.Epoch(), epoch)
 	}
-	return l, err
+	return readListing(w, epoch)
 }
 
 // Instances implements Store.
 func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
 	var list []Instance
-	err := c.retry(ctx, http.MethodGet, "/v1/instances", nil, &list)
+	_, err := c.retry(ctx, http.MethodGet, "/v1/instances", nil, &list)
 	return list, err
 }
 
@@ -144,26 +168,28 @@
 }
 
 func versionPath(key string, v Version) string {
-	return objectPath(key) + "?version=" + strconv.FormatUint(uint64(v), 10)
+	q := url.Values{}
+	setVersion(q, versionParam, v)
+	return objectPath(key) + "?" + q.Encode()
 }
 
 // retry repeats a call until it succeeds, fails with an error other than ErrUnavailable or
-// runs out of attempts, with exponential backoff and jitter.
-func (c *Client) retry(ctx context.Context, method, path string, body []byte, answer any) error {
+// runs out of attempts, with exponential backoff and jitter. It returns the store's epoch.
+func (c *Client) retry(ctx context.Context, method, path string, body []byte, answer any) (epoch uint64, err error) {
 	pause := c.cfg.Backoff
 	for n := 1; ; n++ {
 		attempt, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
-		err := c.attempt(attempt, method, path, body, answer)
+		epoch, err = c.attempt(attempt, method, path, body, answer)
 		cancel()
 		if err == nil || n >= c.cfg.Attempts || !errors.Is(err, ErrUnavailable) {
-			return err
+			return epoch, err
 		}
 		c.mu.Lock()
 		factor := 0.5 + c.cfg.Rand.Float64()
 		c.mu.Unlock()
 		select {
 		case <-ctx.Done():
-			return err
+			return 0, err
 		case <-time.After(time.Duration(float64(pause) * factor)):
 		}
 		pause = min(2*pause, 16*c.cfg.Backoff)
@@ -171,13 +197,13 @@
 }
 
 // attempt makes one HTTP call. A change whose response is lost or unreadable returns ErrUnknown.
-func (c *Client) attempt(ctx context.Context, method, path string, body []byte, answer any) error {
+func (c *Client) attempt(ctx context.Context, method, path string, body []byte, answer any) (epoch uint64, err error) {
 	if err := c.limit.Wait(ctx); err != nil {
-		return errors.Wrap(ErrUnavailable, "rate limit of this process")
+		return 0, errors.Wrap(ErrUnavailable, "rate limit of this process")
 	}
 	req, err := http.NewRequestWithContext(ctx, method, c.cfg.URL+path, bytes.NewReader(body))
 	if err != nil {
-		return errors.Wrap(err, "platform address")
+		return 0, errors.Wrap(err, "platform address")
 	}
 	lostErr := ErrUnavailable
 	if method != http.MethodGet {
@@ -189,24 +215,27 @@
 		if errors.As(err, &dial) && dial.Op == "dial" {
 			lostErr = ErrUnavailable // no connection, so the change was not sent
 		}
-		return errors.Wrapf(lostErr, "%s: %v", method, err)
+		return 0, errors.Wrapf(lostErr, "%s: %v", method, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	// A listing holds several values in base64, so it can exceed the limit of one value.
 	data, err := io.ReadAll(io.LimitReader(resp.Body, 64*MaxValue))
 	if err != nil {
-		return errors.Wrapf(lostErr, "%s: %v", method, err)
+		return 0, errors.Wrapf(lostErr, "%s: %v", method, err)
 	}
 	if err := statusError(resp.StatusCode, lostErr); err != nil {
-		return errors.Wrapf(err, "%s: status %d", method, resp.StatusCode)
+		return 0, errors.Wrapf(err, "%s: status %d", method, resp.StatusCode)
+	}
+	if epoch, err = epochOf(resp.Header); err != nil {
+		return 0, errors.Wrapf(lostErr, "%s: invalid response: %v", method, err)
 	}
 	if answer == nil {
-		return nil
+		return epoch, nil
 	}
 	if err := json.Unmarshal(data, answer); err != nil {
-		return errors.Wrapf(lostErr, "%s: invalid response: %v", method, err)
+		return 0, errors.Wrapf(lostErr, "%s: invalid response: %v", method, err)
 	}
-	return nil
+	return epoch, nil
 }
 
 func statusError(status int, lost error) error {
--- a/internal/objectstore/client_test.go
+++ b/internal/objectstore/client_test.go
@@ -111,6 +111,59 @@
 	must.ErrorIs(t, err, objectstore.ErrExpired)
 }
 
+// Guards against revisions that a restored store gives out again and that pass for those from
+// before: a change that is missed by a watch, or that is overwritten by a conditional one.
+func TestRevisionsAreGivenOutAgain(t *testing.T) {
+	ctx := context.Background()
+	m := standin.New()
+	c := client(t, m.Handler(), nil)
+	old := m.Snapshot()
+	v, err := c.Put(ctx, "a", []byte("lost"), 0)
+	must.NoError(t, err)
+	m.Restore(old)
+	again, err := c.Put(ctx, "a", []byte("new"), 0)
+	must.NoError(t, err)
+	must.Eq(t, v.Revision(), again.Revision())
+	must.Greater(t, v, again)
+	_, err = c.Watch(ctx, "", v, time.Second)
+	must.ErrorIs(t, err, objectstore.ErrExpired)
+	_, err = c.Put(ctx, "a", []byte("overwritten"), v)
+	must.ErrorIs(t, err, objectstore.ErrConflict)
+	must.ErrorIs(t, c.Delete(ctx, "a", v), objectstore.ErrConflict)
+	o, err := c.Get(ctx, "a")
+	must.NoError(t, err)
+	must.Eq(t, objectstore.Object{Key: "a", Version: again, Value: []byte("new")}, o)
+	l, err := c.List(ctx, "")
+	must.NoError(t, err)
+	must.Eq(t, again, l.Version)
+}
+
+// Guards against a server that refuses callers which don't know epochs, and against a client
+// that can't read a store which reports none.
+func TestEpochsAreOptional(t *testing.T) {
+	ctx := context.Background()
+	m := standin.New()
+	m.Restore(m.Snapshot())
+	withoutEpochs := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		q := r.URL.Query()
+		q.Del("epoch")
+		r.URL.RawQuery = q.Encode()
+		rec := httptest.NewRecorder()
+		m.Handler().ServeHTTP(rec, r)
+		w.WriteHeader(rec.Code)
+		_, _ = w.Write(rec.Body.Bytes())
+	})
+	c := client(t, withoutEpochs, nil)
+	v, err := c.Put(ctx, "a", []byte("one"), 0)
+	must.NoError(t, err)
+	v, err = c.Put(ctx, "a", []byte("two"), v)
+	must.NoError(t, err)
+	must.Eq(t, 0, v.Epoch())
+	l, err := c.Watch(ctx, "", v-1, time.Second)
+	must.NoError(t, err)
+	must.Eq(t, []objectstore.Object{{Key: "a", Version: v, Value: []byte("two")}}, l.Objects)
+}
+
 // Guards against a watch that waits for a version which a restored store won't reach soon.
 func TestWatchAheadOfRestoredStoreExpires(t *testing.T) {
 	ctx := context.Background()
--- a/internal/objectstore/doc.go
+++ b/internal/objectstore/doc.go
@@ -13,7 +13,12 @@
 //	DELETE /v1/objects/KEY?version=V             -> {"version": N}
 //	GET    /v1/instances                         -> list of live and leaving instances
 //
+// A store that was restored from an older copy goes back to the copy's versions and gives the
+// later ones out again. The header Store-Epoch of each response counts the restores; calls
+// with a version also carry its epoch, as epoch=E. A version of another epoch does not match.
+// In the product, a Version consists of both.
+//
 // Status 404 means that the object does not exist, 409 that the version did not match,
 // 429 that the caller exceeded its rate limit, and 410 that the watch's version is too
-// old or ahead of the store.
+// old, ahead of the store, or of another epoch.
 package objectstore
--- a/internal/objectstore/standin/handler.go
+++ b/internal/objectstore/standin/handler.go
@@ -22,40 +22,43 @@
 	})
 	mux.HandleFunc("GET /v1/objects", m.serveList)
 	mux.HandleFunc("/v1/objects/", m.serveObject)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		setEpoch(w, m.epoch())
+		mux.ServeHTTP(w, r)
+	})
 }
 
 func (m *Memory) serveList(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	if !q.Has("after") {
 		l, err := m.List(r.Context(), q.Get("prefix"))
-		reply(w, l, err)
+		replyAt(w, l.Version, l.ToWire(), err)
 		return
 	}
-	after, err := strconv.ParseUint(q.Get("after"), 10, 64)
+	after, err := objectstore.ParseVersion(q, "after", m.epoch())
 	wait, waitErr := strconv.ParseFloat(q.Get("wait"), 64)
 	if err != nil || waitErr != nil || wait < 0 || wait > 60 {
 		http.Error(w, "bad after or wait, allowed are a version and 0 to 60 s", http.StatusBadRequest)
 		return
 	}
-	l, err := m.Watch(r.Context(), q.Get("prefix"), objectstore.Version(after), time.Duration(wait*float64(time.Second)))
-	reply(w, l, err)
+	l, err := m.Watch(r.Context(), q.Get("prefix"), after, time.Duration(wait*float64(time.Second)))
+	replyAt(w, l.Version, l.ToWire(), err)
 }
 
 func (m *Memory) serveObject(w http.ResponseWriter, r *http.Request) {
 	key := strings.TrimPrefix(r.URL.Path, "/v1/objects/")
 	if r.Method == http.MethodGet {
 		o, err := m.Get(r.Context(), key)
-		reply(w, o, err)
+		replyAt(w, o.Version, o.ToWire(), err)
 		return
 	}
-	version, err := strconv.ParseUint(r.URL.Query().Get("version"), 10, 64)
+	version, err := objectstore.ParseVersion(r.URL.Query(), "version", m.epoch())
 	if err != nil {
 		http.Error(w, "bad version", http.StatusBadRequest)
 		return
 	}
 	if r.Method == http.MethodDelete {
-		err := m.Delete(r.Context(), key, objectstore.Version(version))
+		err := m.Delete(r.Context(), key, version)
 		reply(w, struct{}{}, err)
 		return
 	}
@@ -64,8 +67,20 @@
 		http.Error(w, "allowed are GET, PUT and DELETE with up to 1 MB", http.StatusBadRequest)
 		return
 	}
-	v, err := m.Put(r.Context(), key, body, objectstore.Version(version))
-	reply(w, map[string]objectstore.Version{"version": v}, err)
+	v, err := m.Put(r.Context(), key, body, version)
+	replyAt(w, v, objectstore.WireVersion{Revision: v.Revision()}, err)
+}
+
+// replyAt is reply for an answer that shows the store at a version.
+func replyAt(w http.ResponseWriter, v objectstore.Version, answer any, err error) {
+	if err == nil {
+		setEpoch(w, v.Epoch())
+	}
+	reply(w, answer, err)
+}
+
+func setEpoch(w http.ResponseWriter, epoch uint64) {
+	w.Header().Set(objectstore.EpochHeader, strconv.FormatUint(epoch, 10))
 }
 
 func reply(w http.ResponseWriter, answer any, err error) {
--- a/internal/objectstore/standin/memory.go
+++ b/internal/objectstore/standin/memory.go
@@ -82,14 +82,36 @@
 	return Snapshot{m.version, maps.Clone(m.objects)}
 }
 
-// Restore returns to a saved state, including the version counter.
+// Restore returns to a saved state in a new epoch: the revisions after the saved one are given
+// out again.
 func (m *Memory) Restore(s Snapshot) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.version, m.objects, m.previous = s.version, maps.Clone(s.objects), nil
+	epoch := m.version.Epoch() + 1
+	m.version, m.objects, m.previous = inEpoch(epoch, s.version), make(map[string]objectstore.Object, len(s.objects)), nil
+	for key, o := range s.objects {
+		o.Version = inEpoch(epoch, o.Version)
+		m.objects[key] = o
+	}
 	m.notify()
 }
 
+// inEpoch returns the version with the same revision in another epoch.
+func inEpoch(epoch uint64, v objectstore.Version) objectstore.Version {
+	v, err := objectstore.NewVersion(epoch, v.Revision())
+	if err != nil {
+		panic(err) // more restores than any test makes
+	}
+	return v
+}
+
+// epoch returns the number of restores.
+func (m *Memory) epoch() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.version.Epoch()
+}
+
 func (m *Memory) notify() {
 	close(m.changed)
 	m.changed = make(chan struct{})
@@ -229,7 +251,7 @@
 		l.Version = after
 		return l, m.changed, nil
 	}
-	if after > m.version {
+	if after > m.version || after.Epoch() != m.version.Epoch() {
 		return l, m.changed, objectstore.ErrExpired
 	}
 	for _, o := range m.objects {
