daemon: a zone founded after a restore of the store may have run requests

Cause: a zone that is founded anew took a store without its status for the proof that it never served, and so that no idempotency key had been used. A restored store may have lost the status; a request repeated with its key would have run twice.

Change: only a status of the store's epoch is a proof.

--- a/internal/daemon/requests.go
+++ b/internal/daemon/requests.go
@@ -152,17 +152,20 @@
 
 // servedBefore reports whether a zone whose first table was just created may have
 // run requests before. It returns false for a zone that never had a bundle in force,
-// and true if the platform does not answer.
+// and true if the platform does not answer, or was restored from an older copy and the zone
+// has not reported since.
 func servedBefore(ctx context.Context, store objectstore.Store, name string) bool {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	o, err := store.Get(ctx, rollout.StatusPrefix+name)
-	if errors.Is(err, objectstore.ErrNotFound) {
-		return false
+	l, err := store.List(ctx, rollout.StatusPrefix)
+	if err != nil {
+		return true
 	}
 	var status rollout.Status
-	if err != nil || json.Unmarshal(o.Value, &status) != nil {
-		return true
+	for _, o := range l.Objects {
+		if o.Key == rollout.StatusPrefix+name && json.Unmarshal(o.Value, &status) != nil {
+			return true
+		}
 	}
-	return status.InForce != zone.Revision{}
+	return status.StoreEpoch < l.Version.Epoch() || status.InForce != zone.Revision{}
 }
