rollout, operator: reports from before a restore of the store do not count

Cause: the leader of a zone took the status that it wrote for kept and read it again only every 30 s, unless the restored store had an older bundle, too.

Change: readers pass the epoch of the store on with their acknowledgements; the leader reads the status again at once in a new epoch and names the epoch in it. guavaloom roll refuses while a zone with instances has no status of the store's epoch, and says so when the store is restored during the roll; guavaloom status shows these zones. The reason store_restored is logged.

TestStatusIsWrittenAgainAfterARestore fails without the new read (3 instances, not 4, after the settle time) and passes with it, as do TestRollNeedsReportsSinceTheRestore and TestRestoreDuringARoll.

--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -74,6 +74,9 @@
 	for _, z := range st.Missing {
 		lines = append(lines, fmt.Sprintf("zone %s: no status", z))
 	}
+	for _, z := range st.Outdated {
+		lines = append(lines, fmt.Sprintf("zone %s: has not reported since the store was restored from an older copy", z))
+	}
 	t.print(st, lines...)
 	if !st.InForce {
 		return refused{errors.New("the current revision is not in force in every zone")}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -163,6 +163,38 @@
 	must.NoError(t, newRoll(s, testBundle(6, "a"), "six").Start(ctx))
 }
 
+// Guards against a roll that is checked against what zones reported before the store was
+// restored from an older copy, or that takes a lost report for none.
+func TestRollNeedsReportsSinceTheRestore(t *testing.T) {
+	ctx := context.Background()
+	s := standin.New()
+	s.SetInstances([]objectstore.Instance{{Ref: instance.Ref{ID: "i", Zone: "zone-0"}}, {Ref: instance.Ref{ID: "j", Zone: "zone-1"}}})
+	must.NoError(t, newRoll(s, testBundle(1, "a"), "one").Start(ctx))
+	setStatus(t, s, "zone-0", rollout.Status{InForce: revision(1), Held: revision(1)})
+	older := s.Snapshot()
+	setStatus(t, s, "zone-1", rollout.Status{InForce: revision(1), Held: revision(1)})
+	s.Restore(older)
+	r := refusal(t, newRoll(s, testBundle(2, "a"), "two").Start(ctx))
+	must.StrContains(t, r.Error(), "zones [zone-0 zone-1] have not reported since")
+	setStatus(t, s, "zone-0", rollout.Status{InForce: revision(1), Held: revision(1), StoreEpoch: 1})
+	must.StrContains(t, refusal(t, newRoll(s, testBundle(2, "a"), "two").Start(ctx)).Error(), "zones [zone-1] have not")
+	setStatus(t, s, "zone-1", rollout.Status{InForce: revision(1), Held: revision(1), StoreEpoch: 1})
+	must.NoError(t, newRoll(s, testBundle(2, "a"), "two").Start(ctx))
+}
+
+// Guards against a roll that replaces a manifest on the word of a revision from before the
+// store was restored, and against one that blames another operator.
+func TestRestoreDuringARoll(t *testing.T) {
+	ctx := context.Background()
+	m := standin.New()
+	must.NoError(t, newRoll(m, testBundle(1, "a"), "one").Start(ctx))
+	older := m.Snapshot()
+	s := &intercept{Memory: m, before: func() { m.Restore(older) }}
+	r := refusal(t, newRoll(s, testBundle(2, "a"), "two").Start(ctx))
+	must.StrContains(t, r.Error(), "restored from an older copy during the roll")
+	must.NoError(t, newRoll(s, testBundle(2, "a"), "two").Start(ctx))
+}
+
 // Guards against an address that moves to another service within one roll or before its
 // removal is acknowledged.
 func TestAddressMovesOnlyAfterRelease(t *testing.T) {
--- a/internal/operator/roll.go
+++ b/internal/operator/roll.go
@@ -74,6 +74,9 @@
 	if c := st.Current; c != nil && c.Digest == encoded.Digest().String() {
 		return nil // Already current, from an earlier call or another operator.
 	}
+	if len(st.Outdated) > 0 {
+		return &RefusedError{Reason: fmt.Sprintf("the store was restored from an older copy, zones %v have not reported since; try again in some seconds", st.Outdated)}
+	}
 	if err := r.checkRevision(st); err != nil {
 		return err
 	}
@@ -196,6 +199,8 @@
 			}
 		case now == nil:
 			return &RefusedError{Reason: "the manifest was removed from the store during the roll"}
+		case before != nil && now.RollID == before.RollID && now.Digest == before.Digest:
+			return &RefusedError{Reason: "the store was restored from an older copy during the roll; roll again"}
 		default:
 			return &RefusedError{Reason: "another roll came first", Winner: now}
 		}
--- a/internal/operator/state.go
+++ b/internal/operator/state.go
@@ -34,11 +34,16 @@
 	Zones   map[string]rollout.Status `json:"zones"`
 	// Missing are zones that have instances or targets but no status.
 	Missing []string `json:"missing,omitempty"`
+	// Outdated are zones with instances whose status was written before the store was restored
+	// from an older copy, or got lost by it. Their leaders write it again within seconds.
+	Outdated []string `json:"outdated,omitempty"`
 	// InForce tells whether the current revision is in force in every zone.
 	InForce bool `json:"in_force"`
 	// expected lists the zones that have instances in the platform's list or targets in
 	// the current bundle. A status of any other zone is left over from a closed zone.
 	expected []string
+	// epoch is the store's epoch when the statuses were read.
+	epoch uint64
 }
 
 // ReadState reads the manifest, all zone statuses and the platform's list of instances.
@@ -60,6 +65,7 @@
 	for _, i := range instances {
 		want[i.Ref.Zone] = true
 	}
+	st.Outdated = outdated(slices.Sorted(maps.Keys(want)), st.Zones, st.epoch)
 	if current != nil {
 		for _, z := range current.header.Zones {
 			want[z] = true
@@ -84,6 +90,7 @@
 	if err != nil {
 		return errors.Wrap(err, "read status of zones")
 	}
+	st.epoch = l.Version.Epoch()
 	for _, o := range l.Objects {
 		var status rollout.Status
 		if err := json.Unmarshal(o.Value, &status); err != nil {
@@ -94,6 +101,13 @@
 	return nil
 }
 
+// outdated returns the zones without a status of the store's epoch.
+func outdated(zones []string, statuses map[string]rollout.Status, epoch uint64) []string {
+	return slices.DeleteFunc(zones, func(z string) bool {
+		return statuses[z].StoreEpoch >= epoch
+	})
+}
+
 func readCurrent(ctx context.Context, s objectstore.Store) (*Current, error) {
 	o, err := s.Get(ctx, rollout.CurrentKey)
 	if errors.Is(err, objectstore.ErrNotFound) {
--- a/internal/rollout/message.go
+++ b/internal/rollout/message.go
@@ -46,6 +46,8 @@
 	Truncated bool `cbor:"5,keyasint,omitempty"`
 	// StoreOlder is set while the store shows an older revision than Held.
 	StoreOlder bool `cbor:"6,keyasint,omitempty"`
+	// StoreEpoch is the epoch of the store that the sender last read; 0 if it does not read it.
+	StoreEpoch uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 func (Digest) message() {}
@@ -95,6 +97,8 @@
 const (
 	// StoreOlder: the store shows an older revision than the one held.
 	StoreOlder ReportReason = "store_older"
+	// StoreRestored: the store was restored from an older copy.
+	StoreRestored ReportReason = "store_restored"
 	// RefusedBundle: a manifest or bundle failed verification.
 	RefusedBundle ReportReason = "refused_bundle"
 	// SameRevision: two different bundles have one revision.
--- a/internal/rollout/reader.go
+++ b/internal/rollout/reader.go
@@ -74,6 +74,9 @@
 	nextInstances time.Duration
 	// storeOlder is set while the store shows an older revision than the held one.
 	storeOlder bool
+	// storeEpoch is the epoch of the store at the last read.
+	storeEpoch uint64
+	epochKnown bool // storeEpoch was read
 }
 
 // setRoles makes the node a reader or leader, or ends these roles, according to the view.
@@ -221,6 +224,7 @@
 		return
 	}
 	n.reader.backoff = 0
+	n.noteEpoch(res.Listing.Version.Epoch())
 	found := false
 	for _, o := range res.Listing.Objects {
 		if o.Key == CurrentKey && !o.Deleted {
@@ -234,6 +238,14 @@
 	n.call(now, forWatch, objectstore.Call{Op: objectstore.OpWatch, Key: BundlePrefix, Version: res.Listing.Version, Wait: watchWait})
 }
 
+// noteEpoch records the epoch of the store and reports that it was restored.
+func (n *Node) noteEpoch(epoch uint64) {
+	if before := n.reader.storeEpoch; epoch > before && n.reader.epochKnown {
+		n.report(StoreRestored, fmt.Sprintf("store was restored from an older copy: epoch %d, before %d", epoch, before))
+	}
+	n.reader.storeEpoch, n.reader.epochKnown = max(n.reader.storeEpoch, epoch), true
+}
+
 // onManifest handles the store's manifest, which may be stale, restored or altered.
 func (n *Node) onManifest(now time.Duration, raw []byte) {
 	m, h, err := n.cfg.Policy.VerifyManifest(raw)
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -149,6 +149,26 @@
 	must.Eq(t, revision(1), f.status("zone-0").InForce)
 }
 
+// Guards against a status from before the store was restored that stays for as long as the
+// restored bundle is the one held: rolls are checked against it.
+func TestStatusIsWrittenAgainAfterARestore(t *testing.T) {
+	f := newFleet(t, 16, 1, 3)
+	f.roll(testBundle(1, "a"))
+	f.run(settleTime)
+	older := f.store.Snapshot()
+	f.join("zone-0", "joined", 1)
+	f.refresh()
+	f.run(settleTime)
+	must.Eq(t, 4, f.status("zone-0").Instances)
+	for restores := range uint64(2) {
+		f.store.Restore(older)
+		must.Eq(t, 3, f.status("zone-0").Instances)
+		f.run(settleTime)
+		must.Eq(t, 4, f.status("zone-0").Instances)
+		must.Eq(t, restores+1, f.status("zone-0").StoreEpoch)
+	}
+}
+
 // Guards against missing a change because a watch silently stopped reporting changes.
 func TestSilentWatchIsNoticed(t *testing.T) {
 	f := newFleet(t, 4, 1, 3)
--- a/internal/rollout/status.go
+++ b/internal/rollout/status.go
@@ -59,6 +59,9 @@
 	Truncated bool                `json:"truncated,omitempty"`
 	// StoreOlder is set while a reader sees an older revision in the store than it holds.
 	StoreOlder bool `json:"store_older,omitempty"`
+	// StoreEpoch is the epoch of the store that the leader knows. A status of an earlier epoch
+	// than the store's was written before the store was restored, and may be outdated.
+	StoreEpoch uint64 `json:"store_epoch,omitempty"`
 }
 
 // leaderState is the state of a node that leads its zone.
@@ -81,6 +84,8 @@
 	callPending   bool
 	nextCall      time.Duration
 	storeOlder    bool // some reader sees an older revision in the store than it holds
+	// storeEpoch is the highest epoch of the store that the leader or a reader has seen.
+	storeEpoch uint64
 }
 
 // nextReread returns when the stored status must be read again.
@@ -102,7 +107,7 @@
 // acknowledge sends the acknowledgement to the leader when it or the leader has
 // changed, and at intervals.
 func (n *Node) acknowledge(now time.Duration) {
-	a := Ack{Held: n.Held(), StoreOlder: n.reader.active && n.reader.storeOlder}
+	a := Ack{Held: n.Held(), StoreOlder: n.reader.active && n.reader.storeOlder, StoreEpoch: n.reader.storeEpoch}
 	a.InForce, a.Reason = n.inForce()
 	a.Referred, a.Truncated = n.extraUses[:min(len(n.extraUses), maxReferred)], len(n.extraUses) > maxReferred
 	to := n.view.Leader
@@ -124,7 +129,7 @@
 
 func sameAck(x, y Ack) bool {
 	return x.Held == y.Held && x.InForce == y.InForce && x.Reason == y.Reason && x.Truncated == y.Truncated &&
-		x.StoreOlder == y.StoreOlder && slices.Equal(x.Referred, y.Referred)
+		x.StoreOlder == y.StoreOlder && x.StoreEpoch == y.StoreEpoch && slices.Equal(x.Referred, y.Referred)
 }
 
 func (n *Node) onAck(now time.Duration, from instance.Ref, a Ack) {
@@ -132,6 +137,7 @@
 		return
 	}
 	n.leader.acks[from.String()] = a
+	n.leader.raiseEpoch(a.StoreEpoch)
 	for _, u := range a.Referred {
 		if _, known := n.leader.referred[u]; !known {
 			n.leader.withheldStale = true
@@ -142,6 +148,14 @@
 	n.updateReferences(now)
 }
 
+// raiseEpoch records an epoch of the store. In a later one the stored status may be an older
+// one or missing, and has to be read again.
+func (l *leaderState) raiseEpoch(epoch uint64) {
+	if epoch > l.storeEpoch {
+		l.storeEpoch, l.storedCurrent = epoch, false
+	}
+}
+
 // updateReferences recomputes the withheld uses if the zone's references have changed
 // or the collection time of a new leader has ended.
 func (n *Node) updateReferences(now time.Duration) {
@@ -190,7 +204,7 @@
 // mergeStatus computes the zone's status from the acknowledgements of all instances that are not gone.
 func (n *Node) mergeStatus() []byte {
 	l := &n.leader
-	s := Status{Zone: n.cfg.Self.Zone, Leader: n.cfg.Self.ID, Counts: make(map[string]int)}
+	s := Status{Zone: n.cfg.Self.Zone, Leader: n.cfg.Self.ID, Counts: make(map[string]int), StoreEpoch: l.storeEpoch}
 	refs := newestRuns(n.view.NotGone)
 	s.Instances = len(refs)
 	acks := make(map[string]Ack, len(refs))
@@ -286,6 +300,7 @@
 	case res.Err == nil:
 		o := res.Listing.Objects[0]
 		l.stored, l.version = o.Value, o.Version
+		l.raiseEpoch(o.Version.Epoch())
 		var s Status
 		if json.Unmarshal(o.Value, &s) == nil && s.InForce.Compare(l.inForce) > 0 {
 			l.inForce = s.InForce
@@ -313,6 +328,7 @@
 		return
 	}
 	l.stored, l.version = res.Call.Value, res.Version
+	l.storeEpoch = max(l.storeEpoch, res.Version.Epoch())
 }
 
 func (n *Node) retryDelay() time.Duration {
