--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -121,6 +121,7 @@
 	close(stop)
 	<-clientsDone
 	w.checkTargets(calms)
+	w.checkRegistered()
 	for _, i := range w.instances {
 		i.stop()
 	}
@@ -142,6 +143,10 @@
 // fault to end.
 func (w *world) storm() (script []string) {
 	for end := time.Now().Add(storm); time.Now().Before(end); time.Sleep(w.draw(50*time.Millisecond, 900*time.Millisecond)) {
+		w.copyStore()
+		if w.restores.Intn(restoreChance) == 0 {
+			script = append(script, w.restore())
+		}
 		if w.rng.Intn(3) == 0 {
 			script = append(script, w.change())
 		} else {
@@ -188,7 +193,7 @@
 	}
 	packetPort, port := portFinder(rand.New(rand.NewSource(time.Now().UnixNano())), ips)
 	w := &world{
-		rng: rng, net: net, store: standin.New(), packetPort: packetPort, version: 1,
+		rng: rng, restores: rand.New(rand.NewSource(^seed)), net: net, store: standin.New(), packetPort: packetPort, version: 1,
 		routes: map[int]time.Time{}, removed: map[int]time.Time{}, rotation: map[int]bool{},
 	}
 	t.Cleanup(w.store.Close)
@@ -196,6 +201,7 @@
 		w.routes[n] = time.Now()
 	}
 	w.putConfig()
+	w.copyStore() // without targets and instances
 	for range 4 {
 		must.NoError(t, w.addTarget("booking", "a", netip.AddrPort{}))
 		must.NoError(t, w.addTarget("proofing", "a", netip.AddrPort{}))
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -62,6 +62,10 @@
 	store      *standin.Store
 	instances  []*instance
 	packetPort uint16
+	// restores is the random source of the restores of the store, copies what it is restored
+	// from.
+	restores *rand.Rand
+	copies   []storeCopy
 
 	mu       sync.Mutex // guards all below
 	targets  []*life
