forwarding: no reset for an unknown target right after entries were lost

Cause: an instance that starts right after the store was restored does not know the targets that the copy lacks. It reset a flow of such a target after 2 s of a view that it took for complete, though the target may take as long to write its entry again, and longer until the instance hears of it.

Change: after an outage or a restore that the instance noticed or was told of, flows to unknown targets are dropped and not reset for the time that a removed entry has to return (3 s). A restore counts as an outage in what instances tell one another.

TestUnknownTokenAfterALossOfEntries fails without it and passes with it.

--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -320,6 +320,7 @@
 	switch {
 	case !seen && len(f.unknownTokens) < maxUnknownTokens:
 		f.unknownTokens[s.Token] = now
+	case f.View.MayLackTargets(now):
 	case seen && now >= since+unknownTokenGrace && f.View.TargetsFreshAt >= since+unknownTokenGrace/2:
 		d.Verdict, d.Seq = Reset, s.Ack
 	}
--- a/internal/forwarding/forwarder_test.go
+++ b/internal/forwarding/forwarder_test.go
@@ -324,6 +324,19 @@
 	must.Eq(t, NoToken, b.data(0, f, 0, 1, 1, 10).Reason)
 }
 
+// Load pattern: an instance starts while the store was restored from an older copy. Guards
+// against resetting flows of a living target that the copy lacks, before it has written again.
+func TestUnknownTokenAfterALossOfEntries(t *testing.T) {
+	b := newFixture()
+	f := flowTo(bookingAddr, 1)
+	start := time.Minute
+	b.View.OutageAt = start
+	must.Eq(t, Drop, b.data(start, f, 77, 1, 1, 10).Verdict)
+	b.View.TargetsFreshAt = start + unknownTokenGrace
+	must.Eq(t, Drop, b.data(start+unknownTokenGrace, f, 77, 1, 1, 10).Verdict)
+	must.Eq(t, Reset, b.data(start+viewLimits.ReturnGrace, f, 77, 1, 1, 10).Verdict)
+}
+
 // Guards against rejecting a flow whose route was added a moment ago, and against leaving
 // clients without an answer when there is certainly no route.
 func TestNoRoute(t *testing.T) {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -112,7 +112,10 @@
 		return Update{Stale: true}
 	}
 	k.updates++
-	u := Update{First: !k.listed, Restored: k.beginEpoch(l.Version), Outage: r.recordReportedOutage(now, l)}
+	u := Update{First: !k.listed, Outage: r.recordReportedOutage(now, l)}
+	if u.Restored = k.beginEpoch(l.Version); u.Restored {
+		r.recordOutage(now, now)
+	}
 	present := make(map[string]bool, len(l.Objects))
 	for _, o := range l.Objects {
 		present[o.Key] = true
@@ -145,7 +148,9 @@
 		u.Stale = true
 		return u
 	}
-	u.Restored = k.beginEpoch(l.Version)
+	if u.Restored = k.beginEpoch(l.Version); u.Restored {
+		r.recordOutage(now, now)
+	}
 	k.updates++
 	for _, o := range l.Objects {
 		if o.Deleted {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -186,6 +186,13 @@
 	return now < since+v.limits.ReturnGrace || v.TargetsFreshAt < since
 }
 
+// MayLackTargets reports whether targets that live may be missing from the view: their entries
+// got lost in an outage or a restore of the store, and they have not had the time to write
+// them again.
+func (v *View) MayLackTargets(now time.Duration) bool {
+	return v.OutageAt > 0 && (now < v.OutageAt+v.limits.ReturnGrace || v.TargetsFreshAt < v.OutageAt)
+}
+
 // Ended reports whether a target is known to have ended.
 func (v *View) Ended(now time.Duration, t *Target) bool {
 	return t.Removed && !v.mayReturn(now, t)
