request: an attempt that ends at the deadline has the reason deadline_passed

What callers saw: a request whose deadline passed got status 502 in place of 504, as the attempt's context or the dispatcher's tick came first; the outcome "unknown" was right.

Cause: a failure of the attempt was classified without the reason for which its context had ended.

TestAttemptAtTheDeadline fails without the change (connection_lost; and answer_truncated once the header has come) and passes with it.

--- a/internal/request/client.go
+++ b/internal/request/client.go
@@ -143,10 +143,17 @@
 		return dispatch.Result{Kind: dispatch.Unsent, Reason: dispatch.ConnectFailed}
 	case timedOut:
 		return lost(dispatch.AttemptTimeout)
+	case deadlinePassed(ctx):
+		return lost(dispatch.DeadlinePassed)
 	}
 	return lost(dispatch.ConnectionLost)
 }
 
+// deadlinePassed reports whether an attempt's context ended at the request's deadline.
+func deadlinePassed(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), context.DeadlineExceeded)
+}
+
 func lost(r dispatch.Reason) dispatch.Result { return dispatch.Result{Kind: dispatch.Lost, Reason: r} }
 
 // notRun reports whether the target answered that it did not run the request.
@@ -206,6 +213,8 @@
 	case err != nil && errors.Is(context.Cause(ctx), errAttemptTimeout):
 		p.closeIdle()
 		return lost(dispatch.AttemptTimeout), nil
+	case err != nil && deadlinePassed(ctx):
+		return lost(dispatch.DeadlinePassed), nil
 	case err != nil:
 		return lost(dispatch.AnswerTruncated), nil
 	case int64(len(body)) > c.limits.MaxAnswer:
--- a/internal/request/request_test.go
+++ b/internal/request/request_test.go
@@ -15,7 +15,9 @@
 
 	"github.com/shoenig/test/must"
 
+	"guavaloom.example/guavaloom/internal/dispatch"
 	"guavaloom.example/guavaloom/internal/service"
+	"guavaloom.example/guavaloom/internal/target"
 	"guavaloom.example/guavaloom/internal/zone"
 )
 
@@ -73,6 +75,29 @@
 	}
 }
 
+// Guards against an attempt that ends at its request's deadline and is reported as a lost
+// connection or a truncated answer, with status 502 in place of 504.
+func TestAttemptAtTheDeadline(t *testing.T) {
+	release, stop := context.WithCancel(t.Context()) // the server's end waits for its handlers
+	defer stop()
+	for _, sendsHeader := range []bool{false, true} {
+		a := httpTarget(t, func(w http.ResponseWriter, _ *http.Request) {
+			if sendsHeader {
+				w.Header().Set("Content-Length", "5")
+				_, _ = io.WriteString(w, "1")
+				must.NoError(t, http.NewResponseController(w).Flush())
+			}
+			<-release.Done()
+		})
+		c := newClient(Limits{ConnectTimeout: time.Minute, AttemptTimeout: time.Minute, MaxAnswer: 1 << 10})
+		c.install(map[target.ID]netip.AddrPort{"t-0": a})
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		result, _ := c.send(ctx, attempt{call: &Call{Method: "POST", Target: "/"}, target: "t-0"})
+		cancel()
+		must.Eq(t, dispatch.Result{Kind: dispatch.Lost, Reason: dispatch.DeadlinePassed}, result)
+	}
+}
+
 // Load pattern: a target sends a duplicate of an answer when the connection is already in
 // use by the next request. Guards against the next caller getting the duplicate, whether or
 // not the target echoes the protocol headers.
