--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -22,8 +22,7 @@
 	return objectstore.Object{Key: key, Version: version, Deleted: true}
 }
 
-// Guards against a stale list, from a restored or lagging source, that reverts newer
-// objects.
+// Guards against a stale list, from a lagging source, that reverts newer objects.
 func TestStaleListIsIgnored(t *testing.T) {
 	r := New("k")
 	r.ApplyList(0, "k", listing(10, object("k/a", 4), object("k/b", 9)))
