view: claims of a restored store wait anew when it is restored again

What callers saw: nothing; found when reading the diff.

Cause: a target that drains and is listed as ready by two restored copies in series kept the first copy's claim, which took effect while the target had not had the time to write after the second restore.

--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -45,6 +45,9 @@
 	if u.Outage || u.Restored {
 		i.forward.View.OutageAt = now
 	}
+	if u.Restored && kind == i.platform.TargetKind {
+		i.forward.View.ExtendClaims(now)
+	}
 	for _, o := range u.Objects {
 		i.applyObject(now, kind, source, o, u.Restored)
 	}
--- a/internal/view/restore.go
+++ b/internal/view/restore.go
@@ -31,6 +31,31 @@
 	return e.Sequence > other.Sequence
 }
 
+// ExtendClaims makes the claims of an earlier restore wait anew when the store is restored
+// again, since the targets may have to write once more.
+func (v *View) ExtendClaims(now time.Duration) {
+	for _, t := range v.targets {
+		if t.claim != nil {
+			t.claim.settlesAt = now + v.claimGrace(t.claim)
+		}
+	}
+}
+
+// claimGrace returns how long a claim waits: for a missing entry until it would have been
+// written again, for another one until it would have expired.
+func (v *View) claimGrace(c *claim) time.Duration {
+	if c.removed {
+		return v.limits.ReturnGrace
+	}
+	return v.limits.RestoreGrace
+}
+
+// addClaim replaces a target's claim.
+func (v *View) addClaim(now time.Duration, t *Target, c claim) {
+	c.settlesAt = now + v.claimGrace(&c)
+	t.claim = &c
+}
+
 // PutRestored applies a target's entry from the first answer of a restored store.
 func (v *View) PutRestored(now time.Duration, e TargetEntry, version uint64) (*Target, Change) {
 	t := v.targets[e.ID]
@@ -38,7 +63,8 @@
 		return v.Put(now, e, version)
 	}
 	if t.Removed || t.Unreadable || t.follows(&e) {
-		t.Version, t.claim = version, &claim{entry: e, settlesAt: now + v.limits.RestoreGrace}
+		t.Version = version
+		v.addClaim(now, t, claim{entry: e})
 		return t, Unchanged
 	}
 	same, warmAt := e.sameExceptCounts(&t.TargetEntry), t.WarmAt
@@ -53,17 +79,20 @@
 // PutUnreadableRestored is PutUnreadable for the first answer of a restored store.
 func (v *View) PutUnreadableRestored(now time.Duration, id target.ID, version uint64) {
 	if t := v.targets[id]; t != nil && version > t.Version {
-		t.Version, t.claim = version, &claim{unreadable: true, settlesAt: now + v.limits.RestoreGrace}
+		t.Version = version
+		v.addClaim(now, t, claim{unreadable: true})
 	}
 }
 
 // RemoveRestored records that the first answer of a restored store lacks a target's entry.
 func (v *View) RemoveRestored(now time.Duration, id target.ID, version uint64) {
-	if t := v.targets[id]; t != nil && version > t.Version {
-		t.Version, t.claim = version, nil
-		if !t.Removed {
-			t.claim = &claim{removed: true, settlesAt: now + v.limits.ReturnGrace}
-		}
+	t := v.targets[id]
+	if t == nil || version <= t.Version {
+		return
+	}
+	t.Version, t.claim = version, nil
+	if !t.Removed {
+		v.addClaim(now, t, claim{removed: true})
 	}
 }
 
--- a/internal/view/restore_test.go
+++ b/internal/view/restore_test.go
@@ -151,6 +151,21 @@
 	must.False(t, tg.Removed)
 }
 
+// Guards against a claim of an earlier restore that takes effect right after a later one, which
+// shows the same entry: the target has to write once more.
+func TestClaimsWaitAnewAfterARestore(t *testing.T) {
+	v := New(limits)
+	v.Put(0, written("i-a1", 9, true), beforeRestore)
+	v.Put(0, written("i-a2", 9, false), beforeRestore)
+	v.PutRestored(0, written("i-a1", 6, false), afterRestore)
+	v.RemoveRestored(0, "i-a2", afterRestore)
+	const again = time.Second
+	v.ExtendClaims(again)
+	must.MapEmpty(t, settle(v, again+limits.ReturnGrace-1))
+	must.Eq(t, map[target.ID]Change{"i-a2": Removed}, settle(v, again+limits.RestoreGrace-1))
+	must.Eq(t, map[target.ID]Change{"i-a1": Updated}, settle(v, again+limits.RestoreGrace))
+}
+
 // Guards against a configuration from the copy that replaces a later one, and against the
 // configuration confirmed after the restore that loses to one of the same version.
 func TestConfigurationsOverARestore(t *testing.T) {
