--- a/internal/edge/registration.go
+++ b/internal/edge/registration.go
@@ -37,14 +37,13 @@
 	r := &registration{key: i.platform.InstanceKind + "/" + i.settings.Name, value: value}
 	rng := newRand()
 	for ctx.Err() == nil {
-		switch expect, missing := i.missingRegistration(r); {
-		case !i.listed(i.platform.InstanceKind):
-			sleep(ctx, retryDelay)
-		case !missing:
-			sleep(ctx, time.Duration((0.5+rng.Float64())*float64(registrationCheckInterval)))
-		case !i.register(ctx, r, expect):
-			sleep(ctx, registerRetryDelay)
+		delay := time.Duration((0.5 + rng.Float64()) * float64(registrationCheckInterval))
+		if !i.listed(i.platform.InstanceKind) {
+			delay = retryDelay
+		} else if expect, missing := i.missingRegistration(r); missing && !i.register(ctx, r, expect) {
+			delay = registerRetryDelay
 		}
+		sleep(ctx, delay)
 	}
 }
 
--- a/internal/objectstore/store.go
+++ b/internal/objectstore/store.go
@@ -14,24 +14,24 @@
 
 // Object is one stored object.
 type Object struct {
-	Key     string  `json:"key"`
-	Version Version `json:"version"`
-	Value   []byte  `json:"value,omitempty"`
+	Key     string
+	Version Version
+	Value   []byte
 	// Deleted marks the removal of an object in the answer of a watch.
-	Deleted bool `json:"deleted,omitempty"`
+	Deleted bool
 }
 
 // Listing is the state of the objects below a prefix, or the changes to them, at a version
 // of the store.
 type Listing struct {
-	Version Version  `json:"version"`
-	Objects []Object `json:"objects"`
+	Version Version
+	Objects []Object
 	// Age is the maximum age of the state if a replica answers in place of the store.
-	Age time.Duration `json:"age,omitempty"`
+	Age time.Duration
 	// SinceOutage is the time since a call to the store last failed, at the instance that
 	// answers or at the one that it follows; 0 if none failed recently. After a recent
 	// failure, objects may have expired only because their owners could not renew them.
-	SinceOutage time.Duration `json:"sinceOutage,omitempty"`
+	SinceOutage time.Duration
 }
 
 // Instance is an entry of the platform's list of instances, which lags behind the
