forwarding: no reset for a missing route right after a restore

Cause: an instance that had started during an outage of the store, or had missed a change before the restore, took the restored configuration for the present one although the operator had not written again; a copy of a first packet to it was answered with a reset.

TestNoRouteAfterARestore fails without it and passes with it.

--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -54,6 +54,9 @@
 	switch kind {
 	case i.platform.ConfigKind:
 		i.forward.View.ConfigFreshAt = now - age
+		if l.Version.Epoch() > held.Epoch() && i.forward.View.OutageAt > 0 {
+			i.forward.View.ConfigRestoredAt = now
+		}
 	case i.platform.TargetKind:
 		i.forward.View.TargetsFreshAt = now - age
 		if u.First {
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -212,7 +212,7 @@
 }
 
 func (f *Forwarder) noRoute(now time.Duration) Decision {
-	if now > f.View.ConfigFreshAt+f.limits.MaxConfigAge {
+	if now > f.View.ConfigFreshAt+f.limits.MaxConfigAge || f.View.MayLackRoutes(now) {
 		return Decision{Reason: RouteUnconfirmed}
 	}
 	return Decision{Verdict: Reset, Reason: NoRoute}
--- a/internal/forwarding/forwarder_test.go
+++ b/internal/forwarding/forwarder_test.go
@@ -324,6 +324,21 @@
 	must.Eq(t, NoToken, b.data(0, f, 0, 1, 1, 10).Reason)
 }
 
+// Load pattern: an instance starts, or missed a change, while the store was restored from a
+// copy without a route. Guards against rejecting flows of the route as long as the operator may
+// have to write it again.
+func TestNoRouteAfterARestore(t *testing.T) {
+	b := newFixture()
+	f := flowTo(view.Endpoint{Addr: [4]byte{198, 18, 9, 9}, Port: 1}, 1)
+	const restoredAt = 10 * time.Second
+	b.View.ConfigRestoredAt = restoredAt
+	for now := restoredAt; now < restoredAt+viewLimits.ReturnGrace; now += time.Second {
+		b.View.ConfigFreshAt = now
+		must.Eq(t, RouteUnconfirmed, b.syn(now, f, 0).Reason)
+	}
+	must.Eq(t, Reset, b.syn(restoredAt+viewLimits.ReturnGrace, f, 0).Verdict)
+}
+
 // Load pattern: an instance starts while the store was restored from an older copy. Guards
 // against resetting flows of a living target that the copy lacks, before it has written again.
 func TestUnknownTokenAfterALossOfEntries(t *testing.T) {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -28,6 +28,10 @@
 	// ConfigFreshAt and TargetsFreshAt are when the configuration and the targets were last
 	// known to match the store.
 	ConfigFreshAt, TargetsFreshAt time.Duration
+	// ConfigRestoredAt is when a configuration was first confirmed after a restore of the store
+	// or, by an instance that has just started, after an outage in which it may have been
+	// restored; 0 if neither was the case.
+	ConfigRestoredAt time.Duration
 	// OutageAt is when the store was last known to be unavailable.
 	OutageAt time.Duration
 
@@ -186,6 +190,13 @@
 	return now < since+v.limits.ReturnGrace || v.TargetsFreshAt < since
 }
 
+// MayLackRoutes reports whether routes may be missing from the view because the store was
+// restored from an older copy, and its operator has not had the time to write the
+// configuration again.
+func (v *View) MayLackRoutes(now time.Duration) bool {
+	return v.ConfigRestoredAt > 0 && now < v.ConfigRestoredAt+v.limits.ReturnGrace
+}
+
 // MayLackTargets reports whether targets that live may be missing from the view: their entries
 // got lost in an outage or a restore of the store, and they have not had the time to write
 // them again.
