forwarding: no reset for first packets that waited in a stall

Cause: a process that had been paused handled the copies of first packets that waited for it with its view from before the pause, in which a new route was missing, and answered with a reset. The client had opened the flow through another instance meanwhile.

TestFirstPacketsThatWaitedInAStall fails without it and passes with it. TestNoRoute now has the tick that a running process makes before its first packet, since a gap of 11 s without any counts as a stall; what it checks is unchanged.

--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -211,8 +211,13 @@
 	return d
 }
 
+// noRoute decides on a first packet whose endpoint has no route: it is rejected unless the
+// view may lack the route, or the packet may have waited in a stall, as its flow may be open
+// through another instance.
 func (f *Forwarder) noRoute(now time.Duration) Decision {
-	if now > f.View.ConfigFreshAt+f.limits.MaxConfigAge || f.View.MayLackRoutes(now) {
+	stale := now > f.View.ConfigFreshAt+f.limits.MaxConfigAge
+	waited := f.stallEndedAt > 0 && now < f.stallEndedAt+minRetransmitInterval
+	if stale || waited || f.View.MayLackRoutes(now) {
 		return Decision{Reason: RouteUnconfirmed}
 	}
 	return Decision{Verdict: Reset, Reason: NoRoute}
--- a/internal/forwarding/forwarder_test.go
+++ b/internal/forwarding/forwarder_test.go
@@ -324,6 +324,20 @@
 	must.Eq(t, NoToken, b.data(0, f, 0, 1, 1, 10).Reason)
 }
 
+// Load pattern: a process that was paused handles the first packets that waited for it, and
+// its view is from before the pause. Guards against resetting flows that clients have opened
+// through other instances meanwhile.
+func TestFirstPacketsThatWaitedInAStall(t *testing.T) {
+	b := newFixture()
+	f := flowTo(view.Endpoint{Addr: [4]byte{198, 18, 9, 9}, Port: 1}, 1)
+	b.Tick(10 * time.Second)
+	const resumedAt = 13 * time.Second
+	b.View.ConfigFreshAt = 10 * time.Second
+	must.Eq(t, Drop, b.syn(resumedAt, f, 0).Verdict)
+	must.Eq(t, Drop, b.syn(resumedAt+ms, f, 0).Verdict)
+	must.Eq(t, Reset, b.syn(resumedAt+minRetransmitInterval, f, 0).Verdict)
+}
+
 // Load pattern: an instance starts, or missed a change, while the store was restored from a
 // copy without a route. Guards against rejecting flows of the route as long as the operator may
 // have to write it again.
@@ -358,6 +372,7 @@
 	b := newFixture()
 	f := flowTo(view.Endpoint{Addr: [4]byte{198, 18, 9, 9}, Port: 1}, 1)
 	b.View.ConfigFreshAt = 10 * time.Second
+	b.Tick(10 * time.Second) // the process runs
 	must.Eq(t, Reset, b.syn(11*time.Second, f, 0).Verdict)
 	d := b.syn(10*time.Second+limits.MaxConfigAge+ms, f, 0)
 	must.Eq(t, Drop, d.Verdict)
