--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -34,8 +34,17 @@
 }{
 	{4, lapseTold}, {21, lapseTold}, {22, lapseTold}, {37, lapseTold}, {38, lapseTold}, {39, lapseTold},
 	{151, removedMeanwhile}, {152, ownPause}, {625, earlyStop},
+	{3013, waitedInAStall}, {3017, restoredRoutes},
 }
 
+// waitedInAStall: a paused process answered the first packets that had waited for it with
+// resets, by its view from before the pause, while their flow was open elsewhere.
+const waitedInAStall = "first packets from before a pause reset by an old configuration"
+
+// restoredRoutes: an instance that had started in an outage rejected a route that the restored
+// store lacked until the operator wrote again.
+const restoredRoutes = "route missing in a restored configuration taken for removed"
+
 // removedMeanwhile was a fault of the soak: a route was removed while a flow to it
 // was being opened, and its refusal was taken for a broken promise.
 const removedMeanwhile = "route removed while a flow to it was opened"
