forwarding: no reset without a target right after a loss of entries or a stall

Change: no first packet is answered with a reset for 200 ms after a stall, whatever the reason, and none for want of a target while entries may be missing after an outage or a restore.

TestNoTargetAfterALossOfEntries fails without it and passes with it.

--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -179,8 +179,17 @@
 	f.lastActivityAt = now
 }
 
-// handleFirst places the first packet of a flow, or a retransmission of it.
+// handleFirst places the first packet of a flow, or a retransmission of it. A packet that may
+// have waited in a stall is not rejected: its flow may be open through another instance.
 func (f *Forwarder) handleFirst(now time.Duration, s *Segment) Decision {
+	d := f.decideFirst(now, s)
+	if d.Verdict == Reset && f.stallEndedAt > 0 && now < f.stallEndedAt+minRetransmitInterval {
+		d.Verdict = Drop
+	}
+	return d
+}
+
+func (f *Forwarder) decideFirst(now time.Duration, s *Segment) Decision {
 	if s.ACK {
 		return Decision{Reason: FromTarget}
 	}
@@ -212,12 +221,9 @@
 }
 
 // noRoute decides on a first packet whose endpoint has no route: it is rejected unless the
-// view may lack the route, or the packet may have waited in a stall, as its flow may be open
-// through another instance.
+// view may lack the route.
 func (f *Forwarder) noRoute(now time.Duration) Decision {
-	stale := now > f.View.ConfigFreshAt+f.limits.MaxConfigAge
-	waited := f.stallEndedAt > 0 && now < f.stallEndedAt+minRetransmitInterval
-	if stale || waited || f.View.MayLackRoutes(now) {
+	if now > f.View.ConfigFreshAt+f.limits.MaxConfigAge || f.View.MayLackRoutes(now) {
 		return Decision{Reason: RouteUnconfirmed}
 	}
 	return Decision{Verdict: Reset, Reason: NoRoute}
@@ -270,6 +276,9 @@
 		c.load.lastPlacement = f.placements
 		return f.forwardTo(c.load, r, reason, c.candidates)
 	}
+	if f.View.MayLackTargets(now) {
+		return Decision{Reason: NoTarget, Route: r}
+	}
 	return Decision{Verdict: Reset, Reason: NoTarget, Route: r}
 }
 
--- a/internal/forwarding/forwarder_test.go
+++ b/internal/forwarding/forwarder_test.go
@@ -338,6 +338,20 @@
 	must.Eq(t, Reset, b.syn(resumedAt+minRetransmitInterval, f, 0).Verdict)
 }
 
+// Load pattern: an instance starts while the store was restored from a copy without the targets
+// of a service. Guards against rejecting flows as long as the targets may have to write again,
+// and against not rejecting them when there is certainly no target.
+func TestNoTargetAfterALossOfEntries(t *testing.T) {
+	b := newFixture()
+	const outageAt = 10 * time.Second
+	b.Tick(outageAt)
+	b.View.OutageAt, b.View.TargetsFreshAt = outageAt, outageAt
+	d := b.syn(outageAt+time.Second, flowTo(bookingAddr, 1), 0)
+	must.Eq(t, Decision{Reason: NoTarget, Route: d.Route}, d)
+	b.Tick(outageAt + viewLimits.ReturnGrace - time.Second)
+	must.Eq(t, Reset, b.syn(outageAt+viewLimits.ReturnGrace, flowTo(bookingAddr, 1), 0).Verdict)
+}
+
 // Load pattern: an instance starts, or missed a change, while the store was restored from a
 // copy without a route. Guards against rejecting flows of the route as long as the operator may
 // have to write it again.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -34,12 +34,12 @@
 }{
 	{4, lapseTold}, {21, lapseTold}, {22, lapseTold}, {37, lapseTold}, {38, lapseTold}, {39, lapseTold},
 	{151, removedMeanwhile}, {152, ownPause}, {625, earlyStop},
-	{3013, waitedInAStall}, {3017, restoredRoutes},
+	{3013, waitedInAStall}, {3017, restoredRoutes}, {4040, waitedInAStall},
 }
 
 // waitedInAStall: a paused process answered the first packets that had waited for it with
 // resets, by its view from before the pause, while their flow was open elsewhere.
-const waitedInAStall = "first packets from before a pause reset by an old configuration"
+const waitedInAStall = "first packets from before a pause reset by an old view"
 
 // restoredRoutes: an instance that had started in an outage rejected a route that the restored
 // store lacked until the operator wrote again.
