peer: a stop that takes too long names the connections still open

The error of Close now lists the open connections with their state and the time since it changed. TestCloseNamesTheOpenConnections fails without the change.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -43,6 +43,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       2 * idleTimeout, // the client closes first
 		MaxHeaderBytes:    maxHeader,
+		ConnState:         t.conns.record,
 		Protocols:         new(http.Protocols),
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
 		ErrorLog:          stdlog.New(io.Discard, "", 0), // refusals are counted and logged by reason
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -68,6 +68,7 @@
 	meter    *meter
 	listener net.Listener
 	server   *http.Server
+	conns    connStates
 	ctx      context.Context
 	cancel   context.CancelFunc
 	wg       sync.WaitGroup
@@ -95,7 +96,8 @@
 	l = listen.Bound(l, connectionLimits, func(netip.Addr) { rejected.Inc(1) })
 	start := time.Now()
 	t := &Transport{cfg: cfg, budget: newBudget(cfg.Budget, func() time.Duration { return time.Since(start) }),
-		destinations: map[destKey]*destination{}, callLinks: map[destKey]*link{}}
+		destinations: map[destKey]*destination{}, callLinks: map[destKey]*link{},
+		conns: connStates{open: map[net.Conn]connState{}}}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	t.meter = &meter{budget: t.budget}
 	for lane, name := range []string{"control", "data"} {
@@ -160,6 +162,7 @@
 	t.cancel()
 	err := t.server.Shutdown(ctx)
 	if err != nil {
+		err = errors.Wrapf(err, "connections still open: %s", &t.conns)
 		err = errors.Join(err, t.server.Close())
 	}
 	_ = t.listener.Close() // still open if Serve was never called
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -144,6 +144,33 @@
 	return from.Call(ctx, to.ref, dispatch{Text: text})
 }
 
+// Guards against a stop that takes too long and does not say which connections were in use.
+func TestCloseNamesTheOpenConnections(t *testing.T) {
+	inHandler, release := make(chan struct{}), make(chan struct{})
+	to := startNode(t, nil, "b", "galle", func(c *peer.Config) {
+		c.Handler = func(context.Context, instance.Ref, any) (any, error) {
+			close(inHandler)
+			<-release
+			return nil, nil
+		}
+	})
+	from := startNode(t, nil, "a", "galle")
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_, _ = from.Call(t.Context(), to.ref, dispatch{Text: "x"}) // the connection is closed
+	}()
+	<-inHandler
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	time.AfterFunc(100*time.Millisecond, func() { close(release) })
+	err := to.Close(ctx)
+	must.ErrorIs(t, err, context.Canceled)
+	must.ErrorContains(t, err, "connections still open: 127.0.0.1:")
+	must.ErrorContains(t, err, "active for")
+	<-ended
+}
+
 // Guards against lost replies, replies of a wrong type, and a handler error that is
 // reported as a transport failure.
 func TestSendAndCall(t *testing.T) {
