edge, forwarding: evacuation of a data centre; home regions of routes

Cause: no instance read the operators' evacuation requests.

Change: the kind of the evacuations is replicated like the configuration where the settings have evacuation_bound_ms. Targets are kept by data centre; a placement skips evacuated data centres and those outside a route's home regions, and rejects at once if nothing else is left. Remote targets are examined only if the best local one has requests queued, 128 at most. The kind download is decoded as repeatable.

--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -64,6 +64,11 @@
 		}
 	case i.platform.InstanceKind:
 		i.forward.SetInstances(i.registry.zoneSize())
+	case i.platform.EvacuationKind:
+		i.forward.View.EvacuationsFreshAt = now - age
+		if u.First {
+			i.forward.View.MarkEvacuationsListed()
+		}
 	}
 	i.releaseHeld(now)
 	i.logReadinessChange()
@@ -107,6 +112,8 @@
 		i.applyTarget(now, name, source, o, restored)
 	case i.platform.InstanceKind:
 		i.applyInstance(name, o, restored)
+	case i.platform.EvacuationKind:
+		i.applyEvacuation(now, name, source, o, restored)
 	}
 }
 
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -74,6 +74,8 @@
 	Entries   Entries
 	// ConfigKind, TargetKind and InstanceKind are the kinds of the objects.
 	ConfigKind, TargetKind, InstanceKind string
+	// EvacuationKind is the kind of the evacuations; "" if the deployment has none.
+	EvacuationKind string
 	// Transport is used for calls to other instances.
 	Transport *http.Transport
 	// ReadyHandler returns the handler of the routers' readiness check.
@@ -125,7 +127,7 @@
 		settings: s, timing: s.Deployment.Timing(), platform: p, start: time.Now(),
 		log:        eventlog.New(out, s.Name),
 		metrics:    metric.NewSet(),
-		replica:    replica.New(p.ConfigKind, p.TargetKind, p.InstanceKind),
+		replica:    replica.New(p.kinds()...),
 		registry:   newRegistry(s),
 		peerClient: &http.Client{Transport: p.Transport},
 		stopped:    make(chan struct{}),
@@ -134,9 +136,22 @@
 	}
 	i.counters = newCounters(i.metrics)
 	i.forward = forwarding.New(s.Zone, i.timing.Forwarding, view.New(i.timing.View), observer{i})
+	i.forward.View.SetRegions(s.Regions)
+	if p.EvacuationKind != "" {
+		i.forward.View.RequireEvacuations()
+	}
 	return i
 }
 
+// kinds returns the kinds of objects that an instance reads.
+func (p *Platform) kinds() []string {
+	kinds := []string{p.ConfigKind, p.TargetKind, p.InstanceKind}
+	if p.EvacuationKind != "" {
+		kinds = append(kinds, p.EvacuationKind)
+	}
+	return kinds
+}
+
 // now returns the monotonic time since the instance was created.
 func (i *Instance) now() time.Duration { return time.Since(i.start) }
 
@@ -270,7 +285,11 @@
 		return true
 	}
 	now, v := i.now(), i.forward.View
-	oldest := now - min(v.ConfigFreshAt, v.TargetsFreshAt)
+	freshAt := min(v.ConfigFreshAt, v.TargetsFreshAt)
+	if i.platform.EvacuationKind != "" {
+		freshAt = min(freshAt, v.EvacuationsFreshAt)
+	}
+	oldest := now - freshAt
 	i.confirmed = oldest <= i.timing.Forwarding.MaxConfigAge || now >= i.timing.ReadStoreAfter
 	return i.confirmed
 }
@@ -309,6 +328,7 @@
 	now := i.now()
 	i.mu.Lock()
 	i.settleTargets(now)
+	i.settleEvacuations(now)
 	resets := i.forward.Tick(now)
 	i.counters.flows.Update(float64(i.forward.Flows()))
 	i.logReadinessChange()
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -183,11 +183,18 @@
 	}
 }
 
-// viewAge returns the age of the configuration or of the targets, whichever is older.
+// viewAge returns the age of the configuration, the targets or the evacuations, whichever is
+// the oldest.
 func (i *Instance) viewAge(now time.Duration) time.Duration {
-	config, _ := i.replica.Age(now, i.platform.ConfigKind)
-	targets, _ := i.replica.Age(now, i.platform.TargetKind)
-	return max(config, targets)
+	var oldest time.Duration
+	for _, kind := range i.platform.kinds() {
+		if kind == i.platform.InstanceKind {
+			continue
+		}
+		age, _ := i.replica.Age(now, kind)
+		oldest = max(oldest, age)
+	}
+	return oldest
 }
 
 // peerHandler serves the replica to other instances until this one stops.
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -32,6 +32,13 @@
 	// FirstStart means that all instances start together for the first time, a few
 	// seconds before there is traffic.
 	FirstStart bool
+	// Regions has the region of each data centre of the deployment; empty if not given.
+	Regions map[string]string
+	// Reports is the address (UDP) for reports about targets from other instances; invalid if
+	// there are none.
+	Reports netip.AddrPort
+	// Pace and Overload enable the pacing of targets and the admission by class under overload.
+	Pace, Overload bool
 	// Deployment has the bounds that the deployment sets.
 	Deployment Deployment
 }
@@ -61,6 +68,7 @@
 			{Key: "ready", Required: true, Set: inifile.Address(&s.Ready)},
 			{Key: "peer", Required: true, Set: inifile.Address(&s.Peer)},
 			{Key: "admin", Required: true, Set: inifile.Address(&s.Admin)},
+			{Key: "reports", Set: optionalAddress(&s.Reports)},
 		},
 		"store": {
 			{Key: "address", Required: true, Set: inifile.Address(&s.Store)},
@@ -71,10 +79,18 @@
 			{Key: "stop_grace_s", Set: duration(&d.StopGrace, time.Second, time.Second, time.Hour)},
 			{Key: "config_bound_ms", Set: duration(&d.ConfigBound, time.Millisecond, 300*time.Millisecond, time.Hour)},
 			{Key: "drain_bound_ms", Set: duration(&d.DrainBound, time.Millisecond, 300*time.Millisecond, time.Hour)},
+			{Key: "evacuation_bound_ms", Set: duration(&d.EvacuationBound, time.Millisecond, 300*time.Millisecond, time.Hour)},
+			{Key: "zones", Set: regions(&s.Regions)},
+			{Key: "warmup_overage", Set: inRange(1.0, 100.0, func(n float64) { d.WarmUpOverage = n })},
+			{Key: "warmup_slack", Set: inRange(0.0, 1e6, func(n float64) { d.WarmUpSlack = n })},
 			{Key: "stable_window_ms", Set: duration(&d.StableWindow, time.Millisecond, 500*time.Millisecond, time.Hour)},
 			{Key: "heartbeat_ms", Set: duration(&d.Heartbeat, time.Millisecond, 50*time.Millisecond, time.Minute)},
 			{Key: "max_flow_s", Set: duration(&d.MaxFlow, time.Second, time.Second, 24*time.Hour)},
 		},
+		"balancing": {
+			{Key: "pace", Set: inifile.Choice(&s.Pace, "on", true, "off", false)},
+			{Key: "overload", Set: inifile.Choice(&s.Overload, "on", true, "off", false)},
+		},
 		"peers": {{Key: "seeds", Set: addresses(&s.Seeds)}},
 		"limits": {
 			{Key: "memory_mb", Set: inifile.Number(&s.MemoryMB)},
@@ -85,7 +101,7 @@
 	for _, sec := range f.Sections {
 		fields, known := sections[sec.Name]
 		if !known {
-			f.Fail(sec, "", "unknown section, allowed are instance, listen, store, deployment, peers, limits")
+			f.Fail(sec, "", "unknown section, allowed are instance, listen, store, deployment, balancing, peers, limits")
 			continue
 		}
 		present[sec.Name] = true
@@ -140,6 +156,35 @@
 	}
 }
 
+// regions returns a setter for the data centres with their regions, "ZONE=REGION,...".
+func regions(dst *map[string]string) func(string) string {
+	return func(v string) string {
+		all := map[string]string{}
+		for part := range strings.SplitSeq(v, ",") {
+			if part = strings.TrimSpace(part); part == "" {
+				continue
+			}
+			zone, region, ok := strings.Cut(part, "=")
+			if !ok || zone == "" || region == "" {
+				return fmt.Sprintf("bad data centre %q, allowed is ZONE=REGION", part)
+			}
+			all[zone] = region
+		}
+		*dst = all
+		return ""
+	}
+}
+
+// optionalAddress returns a setter for an address that may be empty.
+func optionalAddress(dst *netip.AddrPort) func(string) string {
+	return func(v string) string {
+		if v == "" {
+			return ""
+		}
+		return inifile.Address(dst)(v)
+	}
+}
+
 const maxWorkers = 64
 
 func workers(dst *uint64) func(string) string {
--- a/internal/edge/timing.go
+++ b/internal/edge/timing.go
@@ -16,6 +16,12 @@
 	ConfigBound time.Duration
 	// DrainBound is how soon a draining target must receive no new flows.
 	DrainBound time.Duration
+	// EvacuationBound is how soon the targets of an evacuated data centre must receive no new
+	// flows; 0 if data centres are not evacuated.
+	EvacuationBound time.Duration
+	// WarmUpOverage and WarmUpSlack are the factor and the number of requests by which a cold
+	// target may get more than it bears in a second.
+	WarmUpOverage, WarmUpSlack float64
 	// StableWindow is how long an instance must have run without a disturbance for the
 	// bounds to apply to it.
 	StableWindow time.Duration
@@ -34,7 +40,7 @@
 	return Deployment{
 		StopGrace: 6 * time.Second, ConfigBound: 3 * time.Second, DrainBound: 3 * time.Second,
 		StableWindow: 4 * time.Second, Heartbeat: 1200 * time.Millisecond, MaxFlow: time.Minute,
-		History: 20 * time.Second, ReadsPerSecond: 2000,
+		History: 20 * time.Second, ReadsPerSecond: 2000, WarmUpOverage: 1,
 	}
 }
 
@@ -96,6 +102,9 @@
 // Timing derives an instance's times from the bounds of its deployment.
 func (d Deployment) Timing() Timing {
 	changeBound := min(d.ConfigBound, d.DrainBound)
+	if d.EvacuationBound > 0 {
+		changeBound = min(changeBound, d.EvacuationBound)
+	}
 	var t Timing
 
 	// A disturbed watch ends within the stable window.
@@ -127,6 +136,8 @@
 
 	// Longer than a store watch and its answer may take.
 	t.Forwarding.MaxConfigAge = t.WatchWait + 3*t.WatchSlack
+	// A change is known everywhere within 0.8 of its bound, and a retransmission may follow.
+	t.Forwarding.EvacuationRepeat = fraction(d.EvacuationBound, 0.1)
 	// A target whose entry was lost writes it again at one of its next two heartbeats.
 	t.View.ReturnGrace = max(minReturnGrace, fraction(d.Heartbeat, 5.0/3)+returnGraceMargin)
 	// A target whose entry is not renewed for three heartbeats is removed from the store.
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -1,7 +1,6 @@
 package forwarding
 
 import (
-	"slices"
 	"time"
 
 	"guavaloom.example/guavaloom/internal/service"
@@ -27,6 +26,9 @@
 	// MaxConfigAge is the age up to which the configuration may be used to reject a flow
 	// that has no route. It exceeds the duration of a watch of the store.
 	MaxConfigAge time.Duration
+	// EvacuationRepeat is how long after an evacuation became known a retransmitted first
+	// packet still goes to the target that the original was sent to.
+	EvacuationRepeat time.Duration
 }
 
 // Event reports that a target became suspected or was cleared.
@@ -85,7 +87,7 @@
 	chooser       chooser
 	flows         *flowTable
 	loads         map[target.ID]*targetLoad
-	services      map[service.ID][]*targetLoad
+	services      map[service.ID]*serviceTargets
 	observer      Observer
 	unknownTokens map[uint32]time.Duration // first seen, by token
 	placements    uint64
@@ -103,7 +105,7 @@
 		chooser:       chooser{zone: zone, instances: 1},
 		flows:         newFlowTable(),
 		loads:         map[target.ID]*targetLoad{},
-		services:      map[service.ID][]*targetLoad{},
+		services:      map[service.ID]*serviceTargets{},
 		observer:      o,
 		unknownTokens: map[uint32]time.Duration{},
 	}
@@ -132,21 +134,35 @@
 		l = newTargetLoad()
 		f.loads[t.ID] = l
 	}
-	if l.target == nil || l.service != t.Service {
+	listed := l.target != nil
+	if listed && (l.service != t.Service || l.zone != t.Zone) {
 		f.removeFromService(l)
-		f.services[t.Service] = append(f.services[t.Service], l)
+		listed = false
 	}
 	l.setTarget(t)
+	if !listed {
+		f.addToService(l)
+	}
+}
+
+func (f *Forwarder) addToService(l *targetLoad) {
+	s := f.services[l.service]
+	if s == nil {
+		s = &serviceTargets{}
+		f.services[l.service] = s
+	}
+	s.add(l)
 }
 
 // removeFromService takes a target out of the list of its service.
 func (f *Forwarder) removeFromService(l *targetLoad) {
-	list := slices.DeleteFunc(f.services[l.service], func(o *targetLoad) bool { return o == l })
-	if len(list) == 0 {
-		delete(f.services, l.service)
+	s := f.services[l.service]
+	if s == nil {
 		return
 	}
-	f.services[l.service] = list
+	if s.remove(l); len(s.zones) == 0 {
+		delete(f.services, l.service)
+	}
 }
 
 // pruneLoads drops the loads of targets that the view has forgotten.
@@ -205,7 +221,11 @@
 	if state == nil {
 		return f.place(now, s, r, nil, Placed)
 	}
-	if state.opened || !f.silentSince(now, state) {
+	if f.evacuated(now, state.load.target) {
+		if state.opened {
+			return Decision{Reason: Evacuated, Target: state.load.target, Route: r}
+		}
+	} else if state.opened || !f.silentSince(now, state) {
 		// The target's answer may be in transit, and a second target must not answer too.
 		if !f.ended(now, state.load.target) {
 			state.lastSeenAt = now
@@ -229,6 +249,13 @@
 	return Decision{Verdict: Reset, Reason: NoRoute}
 }
 
+// evacuated reports whether a retransmitted first packet must not go to the target because
+// its data centre has been evacuated for longer than an answer to the original takes.
+func (f *Forwarder) evacuated(now time.Duration, t *view.Target) bool {
+	known, ok := f.View.EvacuatedFor(now, t.Zone)
+	return ok && known > f.limits.EvacuationRepeat
+}
+
 // silentSince reports whether the target of an opening flow has not responded since the
 // flow's first packet was sent to it.
 func (f *Forwarder) silentSince(now time.Duration, state *flowState) bool {
@@ -257,11 +284,12 @@
 // starting with the share that the flow hashes to.
 func (f *Forwarder) place(now time.Duration, s *Segment, r *view.Route, exclude *targetLoad, reason Reason) Decision {
 	first := pickShare(r.Shares, s.Flow.Hash())
+	p := flowParams{route: r, exclude: exclude, maxLatency: latencyLimit(r, s.Ack > 0)}
+	var excluded exclusions
 	for n := range r.Shares {
 		share := r.Shares[(first+n)%len(r.Shares)]
-		c := f.chooser.choose(now, f.View, f.services[share.Service], flowParams{
-			kind: r.Kind, exclude: exclude, maxLatency: latencyLimit(r, s.Ack > 0),
-		})
+		c := f.chooser.choose(now, f.View, f.services[share.Service], p)
+		excluded.add(c.excluded)
 		switch {
 		case c.rejected:
 			return Decision{Verdict: Reset, Reason: Overloaded, Route: r, Load: c.report()}
@@ -274,12 +302,28 @@
 		}
 		f.placements++
 		c.load.lastPlacement = f.placements
-		return f.forwardTo(c.load, r, reason, c.candidates)
+		d := f.forwardTo(c.load, r, reason, c.candidates)
+		d.LocalEvacuated = c.excluded.localEvacuated
+		return d
 	}
-	if f.View.MayLackTargets(now) {
-		return Decision{Reason: NoTarget, Route: r}
+	return f.noTarget(now, r, s.Ack > 0, excluded)
+}
+
+// noTarget decides on a first packet for which no target is left. Targets that may not serve
+// the flow are a reason to reject it at once, unless it is a retransmission, whose original
+// may have opened the flow through another instance.
+func (f *Forwarder) noTarget(now time.Duration, r *view.Route, retransmitted bool, excluded exclusions) Decision {
+	d := Decision{Verdict: Reset, Reason: NoTarget, Route: r}
+	switch {
+	case excluded.any():
+		d.Reason = excluded.reason()
+		if retransmitted {
+			d.Verdict = Drop
+		}
+	case f.View.MayLackTargets(now):
+		d.Verdict = Drop
 	}
-	return Decision{Verdict: Reset, Reason: NoTarget, Route: r}
+	return d
 }
 
 func (f *Forwarder) forwardTo(l *targetLoad, r *view.Route, reason Reason, candidates int) Decision {
--- a/internal/forwarding/forwarder_test.go
+++ b/internal/forwarding/forwarder_test.go
@@ -126,20 +126,20 @@
 	b.put(0, b.entry("i-1", "booking", "a"))
 	b.put(0, b.entry("i-2", "booking", "a"))
 	b.put(ms, b.entry("i-1", "booking", "a"))
-	must.Len(t, 2, b.services["booking"])
+	must.Eq(t, 2, b.services["booking"].size())
 	b.put(2*ms, b.entry("i-1", "proofing", "a"))
-	must.Len(t, 1, b.services["booking"])
-	must.Len(t, 1, b.services["proofing"])
+	must.Eq(t, 1, b.services["booking"].size())
+	must.Eq(t, 1, b.services["proofing"].size())
 	for n := range 5 {
 		must.Eq(t, "i-2", b.syn(3*ms, flowTo(bookingAddr, n), 0).Target.ID)
 	}
 	b.remove(4*ms, "i-1")
-	must.Len(t, 1, b.services["proofing"]) // its entry may return
+	must.Eq(t, 1, b.services["proofing"].size()) // its entry may return
 	b.Tick(time.Hour)
 	must.MapNotContainsKey(t, b.services, "proofing")
 	must.MapNotContainsKey(t, b.loads, "i-1")
 	b.put(time.Hour, b.entry("i-1", "booking", "a"))
-	must.Len(t, 2, b.services["booking"])
+	must.Eq(t, 2, b.services["booking"].size())
 }
 
 // Load pattern: a target ends without notice while flows are opened. Guards against sending
--- a/internal/forwarding/load.go
+++ b/internal/forwarding/load.go
@@ -39,8 +39,9 @@
 // targetLoad is the load and responsiveness of a target as observed by this instance.
 type targetLoad struct {
 	target *view.Target
-	// service is the service under which the target is listed.
+	// service and zone are the service and data centre under which the target is listed.
 	service service.ID
+	zone    string
 	// incarnation identifies the target's run to which the observations apply.
 	incarnation int64
 	// opening, open and busy count flows: those whose first packet is unanswered, open
@@ -95,7 +96,7 @@
 	if l.target != nil && l.incarnation != t.Incarnation {
 		l.silent, l.backoff, l.backoffUntil, l.latency, l.lastResponseAt, l.failureShare = false, 0, 0, 0, 0, 0
 	}
-	l.target, l.service, l.incarnation = t, t.Service, t.Incarnation
+	l.target, l.service, l.zone, l.incarnation = t, t.Service, t.Zone, t.Incarnation
 }
 
 // recordResponse records that the target responded and reports whether that cleared a
--- a/internal/forwarding/placement.go
+++ b/internal/forwarding/placement.go
@@ -19,16 +19,22 @@
 	suspectPenalty = 1000
 )
 
+// maxRemoteCandidates is how many targets of other data centres are examined for one flow.
+// They rotate, so that the cost of a placement does not grow with the fleet.
+const maxRemoteCandidates = 128
+
 // chooser selects targets for new flows.
 type chooser struct {
 	zone string
 	// instances is how many instances share the load of this data centre's targets.
 	instances int
+	// rotation is where the next examination of remote targets begins.
+	rotation int
 }
 
 // flowParams are the properties of a new flow that affect the choice of its target.
 type flowParams struct {
-	kind view.Kind
+	route *view.Route
 	// exclude, if not nil, is chosen only if no other target is left.
 	exclude *targetLoad
 	// maxLatency is the latency above which a target is late for the flow; 0 if the flow is
@@ -36,6 +42,26 @@
 	maxLatency time.Duration
 }
 
+// exclusions say why targets that are able to serve a flow were not considered for it.
+type exclusions struct{ evacuated, localEvacuated, noHome bool }
+
+func (e *exclusions) add(o exclusions) {
+	e.evacuated = e.evacuated || o.evacuated
+	e.localEvacuated = e.localEvacuated || o.localEvacuated
+	e.noHome = e.noHome || o.noHome
+}
+
+func (e *exclusions) any() bool { return e.evacuated || e.noHome }
+
+// reason returns the reason to report: an operator can withdraw an evacuation, while the homes
+// of a route rule a target out whatever happens.
+func (e *exclusions) reason() Reason {
+	if e.evacuated {
+		return Evacuated
+	}
+	return NoHome
+}
+
 // choice is the result of choosing a target.
 type choice struct {
 	// load is the chosen target; nil if there is none or the flow is rejected.
@@ -43,6 +69,7 @@
 	candidates int
 	rejected   bool
 	local      zoneLoad
+	excluded   exclusions
 }
 
 // choose returns the best of a service's targets for a new flow. While the own data centre
@@ -52,56 +79,103 @@
 // Otherwise a remote target is chosen only if requests queue at the best local one. Open
 // but idle flows don't count as queued: there are many of them, and a flow to another data
 // centre breaks when the links fail.
-func (c *chooser) choose(now time.Duration, v *view.View, all []*targetLoad, p flowParams) (out choice) {
+func (c *chooser) choose(now time.Duration, v *view.View, s *serviceTargets, p flowParams) (out choice) {
+	if s == nil {
+		return out
+	}
 	var best bestCandidates
+	if z := s.zone(c.zone); z != nil && c.mayUse(v, z, p.route, &out.excluded) {
+		c.examineLocal(now, v, z, p, &best, &out)
+	}
+	overloaded := p.maxLatency > 0 && out.local.overloaded(c.instances)
+	if !overloaded && best.local.load != nil && best.local.utilization < remotePenaltyFor(p.route.Kind) {
+		out.load = best.local.load // no remote target can rank before it
+		return out
+	}
 	var remote remoteCandidates
-	for _, l := range all {
+	c.examineRemote(now, v, s, p, &best, &remote, &out)
+	if !overloaded {
+		out.load = best.pick(p.route.Kind)
+		return out
+	}
+	out.load = remote.pick()
+	out.rejected = out.load == nil
+	return out
+}
+
+// mayUse reports whether a flow may go to the targets of a data centre, and records why not.
+func (c *chooser) mayUse(v *view.View, z *zoneTargets, r *view.Route, e *exclusions) bool {
+	if !v.IsHome(r, z.zone) {
+		e.noHome = true
+		return false
+	}
+	if v.Evacuated(z.zone) {
+		e.evacuated = true
+		e.localEvacuated = e.localEvacuated || z.zone == c.zone
+		return false
+	}
+	return true
+}
+
+func (c *chooser) examineLocal(now time.Duration, v *view.View, z *zoneTargets, p flowParams, best *bestCandidates, out *choice) {
+	for _, l := range z.targets {
 		if !v.AcceptsNewFlows(now, l.target) {
 			continue
 		}
 		out.candidates++
-		isLocal, instances := l.target.Zone == c.zone, 1
-		if isLocal {
-			instances = c.instances
-		}
-		o := candidate{load: l, utilization: l.utilization(now, instances)}
-		unreliable := l.avoided(now) || l.target.Removed
-		if unreliable {
-			o.utilization += suspectPenalty
+		o, reliable := c.assess(now, l, c.instances, p)
+		best.local.keepBetter(o)
+		if reliable {
+			out.local.add(now, l, p.maxLatency)
 		}
-		if l == p.exclude {
-			o.utilization += 2 * suspectPenalty
+	}
+}
+
+func (c *chooser) examineRemote(now time.Duration, v *view.View, s *serviceTargets, p flowParams, best *bestCandidates, remote *remoteCandidates, out *choice) {
+	c.rotation++
+	perZone := max(maxRemoteCandidates/len(s.zones), 1)
+	for _, z := range s.zones {
+		if z.zone == c.zone || !c.mayUse(v, z, p.route, &out.excluded) {
+			continue
 		}
-		o.cost = o.utilization + l.idleUtilization(instances)
-		best.add(o, isLocal)
-		switch {
-		case unreliable || l == p.exclude:
-		case isLocal:
-			out.local.add(now, l, p.maxLatency)
-		default:
-			remote.add(now, o, p.maxLatency)
+		left := perZone
+		for m := range z.targets {
+			l := z.targets[(c.rotation+m)%len(z.targets)]
+			if !v.AcceptsNewFlows(now, l.target) {
+				continue
+			}
+			if left--; left < 0 {
+				break
+			}
+			out.candidates++
+			o, reliable := c.assess(now, l, 1, p)
+			best.remote.keepBetter(o)
+			if reliable {
+				remote.add(now, o, p.maxLatency)
+			}
 		}
 	}
-	if p.maxLatency == 0 || !out.local.overloaded(c.instances) {
-		out.load = best.pick(p.kind)
-		return out
+}
+
+// assess ranks a target for a flow. instances is how many instances share its load. reliable
+// is false for targets that are chosen only if no other is left.
+func (c *chooser) assess(now time.Duration, l *targetLoad, instances int, p flowParams) (o candidate, reliable bool) {
+	o = candidate{load: l, utilization: l.utilization(now, instances)}
+	reliable = !l.avoided(now) && !l.target.Removed
+	if !reliable {
+		o.utilization += suspectPenalty
 	}
-	out.load = remote.pick()
-	out.rejected = out.load == nil
-	return out
+	if l == p.exclude {
+		o.utilization += 2 * suspectPenalty
+		reliable = false
+	}
+	o.cost = o.utilization + l.idleUtilization(instances)
+	return o, reliable
 }
 
 // bestCandidates holds the best candidate of the own data centre and of all others.
 type bestCandidates struct{ local, remote candidate }
 
-func (b *bestCandidates) add(o candidate, local bool) {
-	if local {
-		b.local.keepBetter(o)
-		return
-	}
-	b.remote.keepBetter(o)
-}
-
 // pick returns the target of a new flow, or nil if there is no candidate.
 func (b *bestCandidates) pick(kind view.Kind) *targetLoad {
 	switch {
--- a/internal/forwarding/segment.go
+++ b/internal/forwarding/segment.go
@@ -96,6 +96,10 @@
 	RouteUnconfirmed Reason = "route_unsure"
 	// NoTarget: the route's services have no target that accepts new flows.
 	NoTarget Reason = "no_target"
+	// Evacuated: the targets that could serve the flow are in data centres that are evacuated.
+	Evacuated Reason = "evacuated"
+	// NoHome: the targets that could serve the flow are outside the route's home regions.
+	NoHome Reason = "no_home"
 	// Overloaded: most targets of the service answer too late for the route.
 	Overloaded Reason = "overloaded"
 	// NotReady: the configuration or the targets have not been received yet.
@@ -126,4 +130,7 @@
 	Route *view.Route
 	// Load is the load on which the choice of the target was based.
 	Load LoadReport
+	// LocalEvacuated is set if the flow was placed while the targets of the own data centre
+	// could not be used because it is evacuated.
+	LocalEvacuated bool
 }
--- a/internal/view/types.go
+++ b/internal/view/types.go
@@ -20,8 +20,13 @@
 	AtMostOnce
 	// Upload requests are large and must not run twice.
 	Upload
+	// Download requests have large answers and may run more than once.
+	Download
 )
 
+// Repeatable reports whether requests of the kind may run more than once.
+func (k Kind) Repeatable() bool { return k == Idempotent || k == Download }
+
 // String returns the kind's name in lower case.
 func (k Kind) String() string {
 	switch k {
@@ -31,6 +36,8 @@
 		return "once"
 	case Upload:
 		return "upload"
+	case Download:
+		return "download"
 	}
 	return "unknown"
 }
@@ -78,6 +85,8 @@
 	Objective, Deadline time.Duration
 	// Priority of the route's requests; HighestPriority is served before all others.
 	Priority int
+	// Homes are the regions whose targets may serve the requests; empty if all may.
+	Homes []string
 }
 
 // Config is one version of the configuration.
@@ -86,6 +95,9 @@
 	Routes  []Route
 	// IdleTimeout is how long a flow may be idle before it is forgotten; 0 if not given.
 	IdleTimeout time.Duration
+	// ColdRates are the requests a second that a cold target of a service bears. Services
+	// without a limit are missing.
+	ColdRates map[service.ID]float64
 }
 
 // TargetEntry is what a target publishes about itself.
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -28,6 +28,8 @@
 	// ConfigFreshAt and TargetsFreshAt are when the configuration and the targets were last
 	// known to match the store.
 	ConfigFreshAt, TargetsFreshAt time.Duration
+	// EvacuationsFreshAt is the same time of the evacuations.
+	EvacuationsFreshAt time.Duration
 	// ConfigRestoredAt is when a configuration was first confirmed after a restore of the store
 	// or, by an instance that has just started, after an outage in which it may have been
 	// restored; 0 if neither was the case.
@@ -43,6 +45,14 @@
 
 	targets map[target.ID]*Target
 	tokens  map[uint32]*Target
+
+	// evacuations has the requests in force by data centre, withdrawals the version at which the
+	// last one ended.
+	evacuations                            map[string]*Evacuation
+	withdrawals                            map[string]uint64
+	evacuationsRequired, evacuationsListed bool
+
+	regions map[string]string // by data centre
 }
 
 // New returns an empty view.
@@ -52,6 +62,9 @@
 		routes:  map[Endpoint]*Route{},
 		targets: map[target.ID]*Target{},
 		tokens:  map[uint32]*Target{},
+
+		evacuations: map[string]*Evacuation{},
+		withdrawals: map[string]uint64{},
 	}
 }
 
@@ -77,8 +90,11 @@
 // Route returns the route of an endpoint, or nil.
 func (v *View) Route(e Endpoint) *Route { return v.routes[e] }
 
-// Complete reports whether both the configuration and the targets have been received.
-func (v *View) Complete() bool { return v.config.Version > 0 && v.targetsListed }
+// Complete reports whether the configuration, the targets and, where they are required, the
+// evacuations have been received.
+func (v *View) Complete() bool {
+	return v.config.Version > 0 && v.targetsListed && (v.evacuationsListed || !v.evacuationsRequired)
+}
 
 // MarkListed records that all existing entries have been passed to Put.
 func (v *View) MarkListed() { v.targetsListed = true }
