forwarding: refusals of full and failing targets are recognized by their size

Cause: an instance sees only how much of an answer a client acknowledges, and took a target's quick refusal for a quick answer.

Change: the smallest usual size of a route's answers is learned; an answer below half of it counts as a failure of its target, not as a latency, and the target counts as late for a second.

--- a/internal/forwarding/admission.go
+++ b/internal/forwarding/admission.go
@@ -59,6 +59,7 @@
 func (e *remoteCandidates) add(now time.Duration, o candidate, limit time.Duration) {
 	l := o.load
 	switch {
+	case l.recentlyRefused(now):
 	case l.hasRecentLatency(now):
 		if float64(l.latency) <= remoteLatencyShare*float64(limit) {
 			e.inTime.keepBetter(o)
@@ -86,7 +87,7 @@
 	c.targets++
 	c.slots += l.target.Slots
 	c.busy += l.busy + l.opening
-	if l.hasRecentLatency(now) && l.latency > limit {
+	if l.hasRecentLatency(now) && l.latency > limit || l.recentlyRefused(now) {
 		c.late++
 	}
 }
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -29,6 +29,8 @@
 	// EvacuationRepeat is how long after an evacuation became known a retransmitted first
 	// packet still goes to the target that the original was sent to.
 	EvacuationRepeat time.Duration
+	// DetectRefusals enables telling answers that are refusals or errors by their size.
+	DetectRefusals bool
 }
 
 // Event reports that a target became suspected or was cleared.
@@ -89,6 +91,7 @@
 	loads         map[target.ID]*targetLoad
 	services      map[service.ID]*serviceTargets
 	observer      Observer
+	answerSizes   map[view.Endpoint]*answerSizes
 	unknownTokens map[uint32]time.Duration // first seen, by token
 	placements    uint64
 	// lastActivityAt is the time of the last packet or tick. stallEndedAt is the end of the
@@ -107,6 +110,7 @@
 		loads:         map[target.ID]*targetLoad{},
 		services:      map[service.ID]*serviceTargets{},
 		observer:      o,
+		answerSizes:   map[view.Endpoint]*answerSizes{},
 		unknownTokens: map[uint32]time.Duration{},
 	}
 }
@@ -434,8 +438,14 @@
 
 // recordAck records that the client received more of the target's answer.
 func (f *Forwarder) recordAck(now time.Duration, s *Segment, state *flowState) {
+	size := s.Ack - state.ack
 	state.ack = s.Ack
 	f.recordResponse(now, state.load)
+	if state.busy && f.isRefusal(s.Flow.Service, size) {
+		state.load.recordRefusal(now)
+		state.setBusy(false)
+		return
+	}
 	if state.busy {
 		took := now - state.newDataAt
 		state.load.recordLatency(now, took)
--- a/internal/forwarding/load.go
+++ b/internal/forwarding/load.go
@@ -59,6 +59,8 @@
 	// latency is the mean time from the last packet of a request to the acknowledgement of
 	// its answer, last updated at latencyAt; 0 if there is no sample.
 	latency, latencyAt time.Duration
+	// refusedAt is when the target last refused a request; 0 if it never did.
+	refusedAt time.Duration
 	// failureShare is the share of unanswered requests at failureShareAt.
 	failureShare   float64
 	failureShareAt time.Duration
@@ -94,7 +96,7 @@
 // are reset if the target has restarted.
 func (l *targetLoad) setTarget(t *view.Target) {
 	if l.target != nil && l.incarnation != t.Incarnation {
-		l.silent, l.backoff, l.backoffUntil, l.latency, l.lastResponseAt, l.failureShare = false, 0, 0, 0, 0, 0
+		l.silent, l.backoff, l.backoffUntil, l.latency, l.lastResponseAt, l.failureShare, l.refusedAt = false, 0, 0, 0, 0, 0, 0
 	}
 	l.target, l.service, l.zone, l.incarnation = t, t.Service, t.Zone, t.Incarnation
 }
