overload: counts above a limit need confirmation by recent answers

Change: a count above a limit rejects only if the mean of latency / service time confirms it, targets reject, or there are no recent answers; where one request stands for more than the limit, the answers decide. The retry budget does not apply while slots are free.

--- a/internal/overload/replay_test.go
+++ b/internal/overload/replay_test.go
@@ -88,7 +88,6 @@
 	began     time.Duration
 	attempts  int
 	addr      [4]byte
-	late      bool
 	lastReset bool
 }
 
@@ -276,8 +275,7 @@
 			r.after(notRunTime, func() { answer(false) })
 			return
 		}
-		var run func()
-		run = func() {
+		run := func() {
 			t.running++
 			work := time.Duration((0.5 + r.rng.Float64()) * float64(r.classes[q.class].work) * t.slow)
 			r.after(work, func() {
@@ -406,7 +404,7 @@
 // capacity. Guards against urgent requests that find the targets' queues full of others, and
 // against a collapse that outlasts the overload.
 func TestEightTimesTheTraffic(t *testing.T) {
-	for _, instances := range []int{2, 7, 20} {
+	for _, instances := range []int{2, 7, 20, 60} {
 		t.Run(fmt.Sprint(instances, " instances"), func(t *testing.T) {
 			capacity := 16 / 0.044
 			s := scenario{targets: 8, slots: 2, instances: instances, classes: []simClass{urgent, feed}, seconds: 20,
--- a/internal/overload/service.go
+++ b/internal/overload/service.go
@@ -39,10 +39,20 @@
 	// quickShare is the fraction of the service time below which an answer can't be that of
 	// a request that ran. Service times vary between 0.5 and 1.5 of their mean.
 	quickShare = 0.25
+	// confirmShare is the fraction of a limit that the recent answers must confirm: with q
+	// requests per slot, an answer takes about q service times. An instance among many sees
+	// few requests in flight, and their random variation alone rejected up to 15 % of the
+	// flows at 0.6 of the capacity. congestionWeight is the weight of a new answer, and
+	// congestionAge how long an answer reflects the current queues.
+	confirmShare     = 0.7
+	congestionWeight = 0.1
+	congestionAge    = time.Second
 	// sampleWindow is how many latencies are averaged before their mean is compared with
 	// the smallest one. riseRate is the rise per second of the smallest mean, so that a
 	// lasting change of the service time is learned; it adds a sixth in a crowd of 15 s.
+	// The first mean is of fewer samples, since an instance among many gets few.
 	sampleWindow = 16
+	firstSamples = 4
 	riseRate     = 0.01
 )
 
@@ -78,6 +88,10 @@
 	below      bool
 
 	answers, turnedAway, repeats window
+	// congestion is the mean of latency / service time over the latest answers, last updated
+	// at congestionAt.
+	congestion   float64
+	congestionAt time.Duration
 }
 
 // Load is the load of the service's usable targets in the own data centre.
@@ -256,9 +270,9 @@
 	}
 	q := l.PerSlot()
 	if !f.Class.Kind.Repeatable() {
-		return q < l.room() && !s.afterDeadline(now, f, q)
+		return !s.exceeds(now, &l, l.room()) && !s.afterDeadline(now, f, q)
 	}
-	if s.exceedsBudget(now, f) {
+	if !s.slotsIdle(now, q) && s.exceedsBudget(now, f) {
 		return false
 	}
 	if q >= 1 && 2*l.Late > l.Targets {
@@ -267,7 +281,23 @@
 	if lowest, competing := s.lowest(now); competing && f.Class.Priority == lowest && q >= minPerSlot && s.targetsTurnAway(now) {
 		return false
 	}
-	return q < s.limit(now, f.Class.Priority, &l)
+	return !s.exceeds(now, &l, s.limit(now, f.Class.Priority, &l))
+}
+
+// exceeds reports whether the requests per slot are above a limit and the recent answers
+// confirm it. Without any, a single request in flight is no sign of a queue.
+func (s *Service) exceeds(now time.Duration, l *Load, limit float64) bool {
+	recent := s.congestion > 0 && now <= s.congestionAt+congestionAge
+	switch {
+	case l.PerSlot() < limit:
+		// Where one request here stands for more than the limit, the answers tell more.
+		return float64(l.Instances) > limit*float64(l.Slots) && recent && s.congestion >= limit
+	case s.targetsTurnAway(now):
+		return true
+	case !recent:
+		return l.InFlight > 1
+	}
+	return s.congestion >= confirmShare*limit
 }
 
 // AdmitsRemote reports whether a flow may go to targets of other data centres although none is
@@ -316,10 +346,13 @@
 func (s *Service) update(now time.Duration, l *Load) {
 	lowest, _ := s.lowest(now)
 	q, limit := l.PerSlot(), s.limit(now, lowest, l)
-	s.setFull(now, q >= limit, q < recoverShare*limit)
-	if q < 1 {
-		s.full = false // the retry budget must not leave slots idle
-	}
+	s.setFull(now, s.exceeds(now, l, limit), q < recoverShare*limit)
+}
+
+// slotsIdle reports whether slots are free, so that the retry budget must not reject a flow.
+// An instance among many often has no request in flight while the targets are full.
+func (s *Service) slotsIdle(now time.Duration, q float64) bool {
+	return q < 1 && (now > s.congestionAt+congestionAge || s.congestion < minPerSlot)
 }
 
 func (s *Service) setFull(now time.Duration, above, below bool) {
@@ -355,20 +388,33 @@
 		return false
 	}
 	s.answers.add(now)
-	if c != nil {
-		c.recordLatency(now, latency)
+	if c == nil {
+		return true
+	}
+	c.recordLatency(now, latency)
+	if c.serviceTime > 0 {
+		s.recordCongestion(now, float64(latency)/float64(c.serviceTime))
 	}
 	return true
 }
 
+func (s *Service) recordCongestion(now time.Duration, sample float64) {
+	s.congestionAt = now
+	if s.congestion == 0 {
+		s.congestion = sample
+		return
+	}
+	s.congestion += congestionWeight * (sample - s.congestion)
+}
+
 // recordLatency lowers the service time to the mean of the latest samples if that is smaller.
 func (c *classState) recordLatency(now, latency time.Duration) {
 	c.latencySum += latency
 	c.samples++
-	if c.samples < sampleWindow {
+	if c.samples < firstSamples || c.serviceTime > 0 && c.samples < sampleWindow {
 		return
 	}
-	mean := c.latencySum / sampleWindow
+	mean := c.latencySum / time.Duration(c.samples)
 	c.latencySum, c.samples = 0, 0
 	risen := time.Duration(float64(c.serviceTime) * (1 + riseRate*min(now-c.serviceTimeAt, 10*time.Second).Seconds()))
 	if c.serviceTime == 0 || mean < risen {
