overload: tell rejections by targets from quick answers with the latest decision's load

Cause: a target that rejects at once answers within a few milliseconds; a cache does too. Change: a quick answer is a rejection only while all slots were taken at the latest decision and quick answers were rare while slots were free; answers of other data centres count for the budget only. Most targets late makes the service full.

--- a/internal/overload/replay_test.go
+++ b/internal/overload/replay_test.go
@@ -299,12 +299,7 @@
 // observe updates what the instance knows of a target as forwarding does.
 func (r *replay) observe(i *simInstance, o *observed, q *request, took time.Duration) {
 	if r.on {
-		inFlight, slots := 0, 0
-		for n := range i.observed {
-			inFlight += i.observed[n].busy
-			slots += r.targets[n].slots
-		}
-		if !i.service.Answer(r.now, r.classes[q.class].Class, took, inFlight*len(r.instances) >= slots) {
+		if !i.service.Answer(r.now, r.classes[q.class].Class, took) {
 			return
 		}
 	}
--- a/internal/overload/service.go
+++ b/internal/overload/service.go
@@ -38,7 +38,11 @@
 	turnedAwayShare = 0.05
 	// quickShare is the fraction of the service time below which an answer can't be that of
 	// a request that ran. Service times vary between 0.5 and 1.5 of their mean.
-	quickShare = 0.25
+	// Where a share of quickUsual of the answers is that quick while slots are free, they are
+	// real answers, for example from a cache; quickWeight is the weight of an answer in it.
+	quickShare  = 0.25
+	quickUsual  = 0.05
+	quickWeight = 0.02
 	// confirmShare is the fraction of a limit that the recent answers must confirm: with q
 	// requests per slot, an answer takes about q service times. An instance among many sees
 	// few requests in flight, and their random variation alone rejected up to 15 % of the
@@ -75,6 +79,8 @@
 	// latencySum is the sum of the samples since the last mean.
 	latencySum time.Duration
 	samples    int
+	// quick is the mean share of quick answers while slots were free.
+	quick float64
 }
 
 // Service is the overload state of a service as seen by one instance. The zero value is ready
@@ -92,6 +98,9 @@
 	// at congestionAt.
 	congestion   float64
 	congestionAt time.Duration
+	// load is the load at the latest decision, loadAt its time.
+	load   Load
+	loadAt time.Duration
 }
 
 // Load is the load of the service's usable targets in the own data centre.
@@ -264,7 +273,9 @@
 	if l.Slots == 0 {
 		return true
 	}
-	s.update(now, &l)
+	s.load, s.loadAt = l, now
+	late := f.Class.Kind.Repeatable() && l.PerSlot() >= 1 && 2*l.Late > l.Targets
+	s.update(now, &l, late)
 	if f.Class.Priority == view.HighestPriority || f.Objective <= 0 || s.belowFloor(f.Class) {
 		return true
 	}
@@ -275,7 +286,7 @@
 	if !s.slotsIdle(now, q) && s.exceedsBudget(now, f) {
 		return false
 	}
-	if q >= 1 && 2*l.Late > l.Targets {
+	if late {
 		return false
 	}
 	if lowest, competing := s.lowest(now); competing && f.Class.Priority == lowest && q >= minPerSlot && s.targetsTurnAway(now) {
@@ -342,11 +353,11 @@
 	return away > 1 && float64(away) > turnedAwayShare*float64(away+s.answers.sum(now, 5))
 }
 
-// update determines whether the service is full.
-func (s *Service) update(now time.Duration, l *Load) {
+// update determines whether the service is full. late means that most targets are late.
+func (s *Service) update(now time.Duration, l *Load, late bool) {
 	lowest, _ := s.lowest(now)
 	q, limit := l.PerSlot(), s.limit(now, lowest, l)
-	s.setFull(now, s.exceeds(now, l, limit), q < recoverShare*limit)
+	s.setFull(now, late || s.exceeds(now, l, limit), q < recoverShare*limit)
 }
 
 // slotsIdle reports whether slots are free, so that the retry budget must not reject a flow.
@@ -378,19 +389,25 @@
 	s.full = false
 }
 
-// Answer records the latency of a request and reports whether it is that of a request that ran.
-// slotsTaken says whether all slots of the own data centre's targets are taken: only then is
-// a quick answer a rejection by the target.
-func (s *Service) Answer(now time.Duration, class Class, latency time.Duration, slotsTaken bool) (ran bool) {
+// Answer records the latency of a request at a target of the own data centre and reports
+// whether the request ran. A quick answer while all slots are taken is a rejection by the
+// target, unless quick answers of the class are usual while slots are free.
+func (s *Service) Answer(now time.Duration, class Class, latency time.Duration) (ran bool) {
 	c := s.class(class)
-	if c != nil && slotsTaken && float64(latency) < quickShare*float64(c.serviceTime) {
-		s.turnedAway.add(now)
-		return false
-	}
-	s.answers.add(now)
 	if c == nil {
+		s.answers.add(now)
 		return true
 	}
+	quick := c.quickAnswer(latency)
+	if s.slotsTaken(now) {
+		if quick && c.quick <= quickUsual {
+			s.turnedAway.add(now)
+			return false
+		}
+	} else {
+		c.recordQuick(quick)
+	}
+	s.answers.add(now)
 	c.recordLatency(now, latency)
 	if c.serviceTime > 0 {
 		s.recordCongestion(now, float64(latency)/float64(c.serviceTime))
@@ -398,6 +415,41 @@
 	return true
 }
 
+// AnswerElsewhere records an answer of a target in another data centre and reports whether the
+// request ran. It tells nothing about the load of the own data centre.
+func (s *Service) AnswerElsewhere(now time.Duration, class Class, latency time.Duration) (ran bool) {
+	if c := s.class(class); c != nil && s.full && c.quick <= quickUsual && c.quickAnswer(latency) {
+		return false
+	}
+	s.answers.add(now)
+	return true
+}
+
+// slotsTaken reports whether all slots of the own data centre's targets were taken at the
+// latest decision, counting the answered request.
+func (s *Service) slotsTaken(now time.Duration) bool {
+	switch l := &s.load; {
+	case s.loadAt == 0 || now > s.loadAt+congestionAge:
+		return false
+	case l.InFlight == 0: // one request may stand for many slots
+		return now <= s.congestionAt+congestionAge && s.congestion >= minPerSlot
+	default:
+		return (l.InFlight+1)*l.Instances >= l.Slots
+	}
+}
+
+// quickAnswer reports whether a latency is too short for a request that ran.
+func (c *classState) quickAnswer(latency time.Duration) bool {
+	return float64(latency) < quickShare*float64(c.serviceTime)
+}
+
+func (c *classState) recordQuick(quick bool) {
+	c.quick *= 1 - quickWeight
+	if quick {
+		c.quick += quickWeight
+	}
+}
+
 func (s *Service) recordCongestion(now time.Duration, sample float64) {
 	s.congestionAt = now
 	if s.congestion == 0 {
--- a/internal/overload/service_test.go
+++ b/internal/overload/service_test.go
@@ -21,7 +21,7 @@
 	for _, f := range flows {
 		s.Arrive(0, f)
 		for range firstSamples {
-			s.Answer(0, f.Class, 40*ms, false)
+			s.Answer(0, f.Class, 40*ms)
 		}
 	}
 	for range 100 {
@@ -127,7 +127,7 @@
 		var at []time.Duration
 		for now := time.Second; now < 4*time.Second; now += 2 * ms {
 			if answers > 0 && now%(time.Second/time.Duration(answers)) == 0 {
-				s.Answer(now, urgent.Class, 80*ms, false)
+				s.Answer(now, urgent.Class, 80*ms)
 			}
 			s.Arrive(now, urgent)
 			s.Arrive(now, f)
@@ -154,16 +154,42 @@
 func TestQuickRejectionsAreNoAnswers(t *testing.T) {
 	f := flowOf(2, view.Idempotent)
 	s := fullService(f)
+	s.Arrive(time.Second, f)
+	s.Admits(time.Second, f, full(4))
 	before, congestion := s.class(f.Class).serviceTime, s.congestion
 	answers := s.answers.sum(time.Second, buckets)
 	for range 100 {
-		must.False(t, s.Answer(time.Second, f.Class, 3*ms, true))
+		must.False(t, s.Answer(time.Second, f.Class, 3*ms))
+		must.False(t, s.AnswerElsewhere(time.Second, f.Class, 3*ms))
 	}
 	must.Eq(t, before, s.class(f.Class).serviceTime)
 	must.Eq(t, congestion, s.congestion)
 	must.Eq(t, answers, s.answers.sum(time.Second, buckets))
 	must.True(t, s.targetsTurnAway(time.Second))
-	must.True(t, s.Answer(time.Second, f.Class, 3*ms, false)) // free slots: the service became faster
+}
+
+// Guards against taking the quick answers of a cache for rejections, and against a service
+// time that is kept after the service became much faster.
+func TestQuickAnswersWhileSlotsAreFree(t *testing.T) {
+	f := flowOf(2, view.Idempotent)
+	s := fullService(f)
+	s.Arrive(time.Second, f)
+	s.Admits(time.Second, f, full(0.5))
+	for range 100 {
+		must.True(t, s.Answer(time.Second, f.Class, 3*ms))
+	}
+	must.Eq(t, 3*ms, s.class(f.Class).serviceTime)
+	cached := fullService(f)
+	cached.Admits(time.Second, f, full(0.5))
+	for n := range 100 {
+		latency := 40 * ms
+		if n%3 == 0 {
+			latency = ms
+		}
+		cached.Answer(time.Second, f.Class, latency)
+	}
+	cached.Admits(time.Second, f, full(3))
+	must.True(t, cached.Answer(time.Second, f.Class, ms))
 }
 
 // Guards against a full state that changes with every flow, and against one that stays when
@@ -198,11 +224,11 @@
 		if now > time.Second {
 			latency = 400 * ms
 		}
-		s.Answer(now, f.Class, latency, true)
+		s.Answer(now, f.Class, latency)
 	}
 	must.Between(t, 40*ms, s.class(f.Class).serviceTime, 44*ms)
 	for now := 8 * time.Second; now < 300*time.Second; now += 10 * ms {
-		s.Answer(now, f.Class, 400*ms, true)
+		s.Answer(now, f.Class, 400*ms)
 	}
 	must.Greater(t, 300*ms, s.class(f.Class).serviceTime)
 }
@@ -240,6 +266,6 @@
 		s.Admits(now, f, full(3))
 		s.Finish(now, f, Rejected)
 		c.Reject(now, [4]byte{100, 1, 2, byte(now / ms)})
-		s.Answer(now, f.Class, 50*ms, true)
+		s.Answer(now, f.Class, 50*ms)
 	}))
 }
