forwarding, edge: admission by class under overload, behind [balancing] overload

Change: Limits.Overload, set from Settings.Overload. Package overload decides on new flows whose first packet is no retransmission; answers feed its service times. A data centre without usable targets applies the same rules to the remote targets. A request that must not run twice is rejected for lack of room only while targets reject others.

--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -135,6 +135,7 @@
 		instancesListed: make(chan struct{}),
 	}
 	i.counters = newCounters(i.metrics)
+	i.timing.Forwarding.Overload = s.Overload
 	i.forward = forwarding.New(s.Zone, i.timing.Forwarding, view.New(i.timing.View), observer{i})
 	i.forward.View.SetRegions(s.Regions)
 	if p.EvacuationKind != "" {
@@ -331,6 +332,7 @@
 	i.settleEvacuations(now)
 	resets := i.forward.Tick(now)
 	i.counters.flows.Update(float64(i.forward.Flows()))
+	i.counters.fullServices.Update(float64(i.forward.FullServices()))
 	i.logReadinessChange()
 	i.mu.Unlock()
 	for _, r := range resets {
--- a/internal/edge/telemetry.go
+++ b/internal/edge/telemetry.go
@@ -111,6 +111,9 @@
 	times    map[forwarding.Span]*metric.LatencyHistogram
 	// configAge and targetAge are the ages of the view in placements and refusals.
 	configAge, targetAge *metric.LatencyHistogram
+	// overload counts the new flows of full services.
+	overload     map[overloadOutcome]metrics.Counter
+	fullServices metrics.GaugeFloat64
 }
 
 type outcome struct {
@@ -127,6 +130,7 @@
 		configAge: s.Histogram(metric.EdgeUsedViewAge, "config"),
 		targetAge: s.Histogram(metric.EdgeUsedViewAge, "targets"),
 	}
+	c.overload, c.fullServices = map[overloadOutcome]metrics.Counter{}, s.Gauge(metric.EdgeFullServices, "")
 	for _, span := range []forwarding.Span{forwarding.Opening, forwarding.FirstData, forwarding.FirstAnswer, forwarding.Answer} {
 		c.times[span] = s.Histogram(metric.EdgeTimes, span.String())
 	}
--- a/internal/forwarding/admission.go
+++ b/internal/forwarding/admission.go
@@ -54,12 +54,20 @@
 	inTime, unmeasured candidate
 	// probing is set if an unmeasured target already has a flow or request in progress.
 	probing bool
+	// targets, slots and busy sum up the targets; measured are those with a recent latency
+	// sample, late those of them above the limit; fastest is the shortest latency.
+	targets, slots, busy, measured, late int
+	fastest                              time.Duration
 }
 
 func (e *remoteCandidates) add(now time.Duration, o candidate, limit time.Duration) {
 	l := o.load
+	e.targets++
+	e.slots += l.target.Slots
+	e.busy += l.busy + l.opening
 	switch {
 	case l.hasRecentLatency(now):
+		e.measure(l.latency, limit)
 		if float64(l.latency) <= remoteLatencyShare*float64(limit) {
 			e.inTime.keepBetter(o)
 		}
@@ -70,6 +78,16 @@
 	}
 }
 
+func (e *remoteCandidates) measure(latency, limit time.Duration) {
+	e.measured++
+	if latency > limit {
+		e.late++
+	}
+	if e.fastest == 0 || latency < e.fastest {
+		e.fastest = latency
+	}
+}
+
 // pick returns the best target, or nil. If no target is known to answer in time, only one
 // flow at a time is sent to an unmeasured one.
 func (e *remoteCandidates) pick() *targetLoad {
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -29,6 +29,8 @@
 	// EvacuationRepeat is how long after an evacuation became known a retransmitted first
 	// packet still goes to the target that the original was sent to.
 	EvacuationRepeat time.Duration
+	// Overload enables admission by class while a service's targets are full.
+	Overload bool
 }
 
 // Event reports that a target became suspected or was cleared.
@@ -85,6 +87,7 @@
 
 	limits        Limits
 	chooser       chooser
+	overload      *overloadState
 	flows         *flowTable
 	loads         map[target.ID]*targetLoad
 	services      map[service.ID]*serviceTargets
@@ -103,6 +106,7 @@
 		View:          v,
 		limits:        l,
 		chooser:       chooser{zone: zone, instances: 1},
+		overload:      newOverloadState(l, o),
 		flows:         newFlowTable(),
 		loads:         map[target.ID]*targetLoad{},
 		services:      map[service.ID]*serviceTargets{},
@@ -285,14 +289,16 @@
 func (f *Forwarder) place(now time.Duration, s *Segment, r *view.Route, exclude *targetLoad, reason Reason) Decision {
 	first := pickShare(r.Shares, s.Flow.Hash())
 	p := flowParams{route: r, exclude: exclude, maxLatency: latencyLimit(r, s.Ack > 0)}
+	p.flow, p.byClass = f.overloadParams(now, s, r)
 	var excluded exclusions
 	for n := range r.Shares {
 		share := r.Shares[(first+n)%len(r.Shares)]
 		c := f.chooser.choose(now, f.View, f.services[share.Service], p)
 		excluded.add(c.excluded)
+		f.recordAdmission(now, s, share.Service, &p, &c)
 		switch {
 		case c.rejected:
-			return Decision{Verdict: Reset, Reason: Overloaded, Route: r, Load: c.report()}
+			return Decision{Verdict: Reset, Reason: c.overloadReason(&p), Route: r, Load: c.report()}
 		case c.load == nil:
 			continue
 		}
@@ -438,7 +444,9 @@
 	f.recordResponse(now, state.load)
 	if state.busy {
 		took := now - state.newDataAt
-		state.load.recordLatency(now, took)
+		if f.requestRan(now, s.Flow, state.load, took) {
+			state.load.recordLatency(now, took)
+		}
 		state.load.recordOutcome(now, true)
 		f.observer.ObserveSpan(Answer, took)
 		if state.sawFirstPacket && !state.answered {
@@ -490,6 +498,7 @@
 	}
 	f.flows.expireIdle(now, idle)
 	f.flows.expireRequests(now)
+	f.tickOverload(now)
 	var out []ResetFlow
 	for id, state := range f.flows.flows {
 		if f.ended(now, state.load.target) && state.opened {
--- a/internal/forwarding/placement.go
+++ b/internal/forwarding/placement.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"guavaloom.example/guavaloom/internal/overload"
 	"guavaloom.example/guavaloom/internal/view"
 )
 
@@ -40,6 +41,9 @@
 	// maxLatency is the latency above which a target is late for the flow; 0 if the flow is
 	// placed regardless of latency.
 	maxLatency time.Duration
+	// flow is valid if byClass is set: admission by class decides on the flow.
+	flow    overload.Flow
+	byClass bool
 }
 
 // exclusions say why targets that are able to serve a flow were not considered for it.
@@ -68,8 +72,10 @@
 	load       *targetLoad
 	candidates int
 	rejected   bool
-	local      zoneLoad
-	excluded   exclusions
+	// diverted is set if the own data centre's targets were not to get the flow.
+	diverted bool
+	local    zoneLoad
+	excluded exclusions
 }
 
 // choose returns the best of a service's targets for a new flow. While the own data centre
@@ -83,23 +89,27 @@
 	if s == nil {
 		return out
 	}
+	if p.byClass {
+		p.maxLatency = s.arrive(now, &p)
+	}
 	var best bestCandidates
 	if z := s.zone(c.zone); z != nil && c.mayUse(v, z, p.route, &out.excluded) {
 		c.examineLocal(now, v, z, p, &best, &out)
 	}
-	overloaded := p.maxLatency > 0 && out.local.overloaded(c.instances)
+	overloaded := c.mustDivert(now, s, &p, &out.local)
 	if !overloaded && best.local.load != nil && best.local.utilization < remotePenaltyFor(p.route.Kind) {
 		out.load = best.local.load // no remote target can rank before it
 		return out
 	}
 	var remote remoteCandidates
 	c.examineRemote(now, v, s, p, &best, &remote, &out)
+	overloaded = overloaded || s.mustDivertRemote(now, &p, c.instances, &out.local, &remote)
 	if !overloaded {
 		out.load = best.pick(p.route.Kind)
 		return out
 	}
 	out.load = remote.pick()
-	out.rejected = out.load == nil
+	out.rejected, out.diverted = out.load == nil, true
 	return out
 }
 
--- a/internal/forwarding/service_targets.go
+++ b/internal/forwarding/service_targets.go
@@ -3,12 +3,17 @@
 import (
 	"cmp"
 	"slices"
+
+	"guavaloom.example/guavaloom/internal/overload"
 )
 
 // serviceTargets are the targets of one service by data centre, so that a placement examines
 // the own data centre's targets first and skips whole data centres.
 type serviceTargets struct {
 	zones []*zoneTargets // ordered by name
+	// admission decides on new flows under overload; reportedFull is its last reported state.
+	admission    overload.Service
+	reportedFull bool
 }
 
 type zoneTargets struct {
--- a/internal/metric/names.go
+++ b/internal/metric/names.go
@@ -51,5 +51,7 @@
 	EdgeChanges       = Declaration{"guavaloom_edge_view_changes_total", "changes", "Changes of the view, by kind.", Counter, "change"}
 	EdgeSkippedInputs = Declaration{"guavaloom_edge_skipped_inputs_total", "inputs", "Packets and entries skipped because processing them panicked, by part of the program.", Counter, "part"}
 	EdgeEvacuations   = Declaration{"guavaloom_edge_evacuations", "data centres", "Evacuated data centres known to the instance.", Gauge, ""}
+	EdgeOverload      = Declaration{"guavaloom_edge_overload_total", "flows", "New flows of full services, by outcome (admitted, elsewhere or rejected), priority and kind of the route.", Counter, "class"}
+	EdgeFullServices  = Declaration{"guavaloom_edge_full_services", "services", "Services whose targets in the own data centre are full.", Gauge, ""}
 	EdgeUnreadable    = Declaration{"guavaloom_edge_unreadable_total", "entries", "Entries of the store that could not be read, by kind.", Counter, "kind"}
 )
--- a/internal/overload/service.go
+++ b/internal/overload/service.go
@@ -99,8 +99,11 @@
 	congestion   float64
 	congestionAt time.Duration
 	// load is the load at the latest decision, loadAt its time.
+	// remote means that it was that of other data centres' targets, since the own data centre
+	// has none.
 	load   Load
 	loadAt time.Duration
+	remote bool
 }
 
 // Load is the load of the service's usable targets in the own data centre.
@@ -273,15 +276,15 @@
 	if l.Slots == 0 {
 		return true
 	}
-	s.load, s.loadAt = l, now
-	late := f.Class.Kind.Repeatable() && l.PerSlot() >= 1 && 2*l.Late > l.Targets
+	s.load, s.loadAt, s.remote = l, now, false
+	late := f.Class.Kind.Repeatable() && f.Objective > 0 && l.PerSlot() >= 1 && 2*l.Late > l.Targets
 	s.update(now, &l, late)
 	if f.Class.Priority == view.HighestPriority || f.Objective <= 0 || s.belowFloor(f.Class) {
 		return true
 	}
 	q := l.PerSlot()
 	if !f.Class.Kind.Repeatable() {
-		return !s.exceeds(now, &l, l.room()) && !s.afterDeadline(now, f, q)
+		return !s.noRoom(now, &l) && !s.afterDeadline(now, f, q)
 	}
 	if !s.slotsIdle(now, q) && s.exceedsBudget(now, f) {
 		return false
@@ -311,18 +314,31 @@
 	return s.congestion >= confirmShare*limit
 }
 
-// AdmitsRemote reports whether a flow may go to targets of other data centres although none is
-// known to answer in time, for a data centre without usable targets. Of the measured targets,
-// late ones answer later than MaxLatency; fastest is the smallest mean latency.
-func (s *Service) AdmitsRemote(now time.Duration, f Flow, measured, late int, fastest time.Duration) bool {
-	s.setFull(now, 2*late > measured, late == 0)
+// Remote is the load of the targets of other data centres, of which only the flows that came
+// through this data centre are known: InFlight is a lower bound.
+type Remote struct {
+	Load
+	// Measured is how many targets have a recent latency; Fastest is the shortest one.
+	Measured int
+	Fastest  time.Duration
+}
+
+// AdmitsRemote reports whether a flow may go to any target of other data centres, for a data
+// centre without usable targets.
+func (s *Service) AdmitsRemote(now time.Duration, f Flow, r Remote) bool {
+	if r.Slots == 0 {
+		return true
+	}
+	s.load, s.loadAt, s.remote = r.Load, now, true
+	late := f.Class.Kind.Repeatable() && f.Objective > 0 && 2*r.Late > r.Measured
+	s.update(now, &r.Load, late)
 	if f.Class.Priority == view.HighestPriority || f.Objective <= 0 || s.belowFloor(f.Class) {
 		return true
 	}
 	if !f.Class.Kind.Repeatable() {
-		return f.Deadline <= 0 || fastest <= f.Deadline
+		return !s.noRoom(now, &r.Load) && (f.Deadline <= 0 || r.Fastest <= f.Deadline)
 	}
-	return !s.exceedsBudget(now, f) && 2*late <= measured
+	return !late && !s.exceedsBudget(now, f) && !s.exceeds(now, &r.Load, s.limit(now, f.Class.Priority, &r.Load))
 }
 
 // belowFloor reports whether a flow is admitted because all flows of its class before it were
@@ -346,6 +362,12 @@
 	return s.repeats.sum(now, 11) >= budget
 }
 
+// noRoom reports whether the targets would reject a request: by count they are full, and they
+// have rejected others. Their queues may be longer than assumed.
+func (s *Service) noRoom(now time.Duration, l *Load) bool {
+	return l.PerSlot() >= l.room() && s.targetsTurnAway(now)
+}
+
 // targetsTurnAway reports whether the targets' queues are full, as shown by their answers of
 // the last half second.
 func (s *Service) targetsTurnAway(now time.Duration) bool {
@@ -416,8 +438,11 @@
 }
 
 // AnswerElsewhere records an answer of a target in another data centre and reports whether the
-// request ran. It tells nothing about the load of the own data centre.
+// request ran. It tells nothing about the load of the own data centre's targets, if there are any.
 func (s *Service) AnswerElsewhere(now time.Duration, class Class, latency time.Duration) (ran bool) {
+	if s.remote {
+		return s.Answer(now, class, latency)
+	}
 	if c := s.class(class); c != nil && s.full && c.quick <= quickUsual && c.quickAnswer(latency) {
 		return false
 	}
