overload: a deadline rejects only when the answers confirm the queue

Cause: an upload counts as in flight while it is sent, so that many slow uploads look like a queue; requests that must not run twice could be rejected for their deadline without one. Change: the deadline rule uses the same confirmation as the limits.

--- a/internal/overload/service.go
+++ b/internal/overload/service.go
@@ -284,7 +284,7 @@
 	}
 	q := l.PerSlot()
 	if !f.Class.Kind.Repeatable() {
-		return !s.noRoom(now, &l) && !s.afterDeadline(now, f, q)
+		return !s.noRoom(now, &l) && !s.afterDeadline(now, f, &l)
 	}
 	if !s.slotsIdle(now, q) && s.exceedsBudget(now, f) {
 		return false
@@ -348,8 +348,14 @@
 	return state == nil || state.denied >= floorInterval-1
 }
 
-func (s *Service) afterDeadline(now time.Duration, f Flow, perSlot float64) bool {
-	return f.Deadline > 0 && (perSlot+1)*float64(s.serviceTime(now)) > float64(f.Deadline)
+// afterDeadline reports whether the answer to a request would arrive after its deadline. An
+// upload counts as in flight while it is sent, so the count alone does not show a queue.
+func (s *Service) afterDeadline(now time.Duration, f Flow, l *Load) bool {
+	t := s.serviceTime(now)
+	if f.Deadline <= 0 || t <= 0 {
+		return false
+	}
+	return s.exceeds(now, l, max(float64(f.Deadline)/float64(t)-1, minPerSlot))
 }
 
 // exceedsBudget reports whether a repeated attempt must not be admitted. The repeated ones are
--- a/internal/overload/service_test.go
+++ b/internal/overload/service_test.go
@@ -66,6 +66,9 @@
 	must.False(t, s.Admits(0, f, full(5)))
 	f.Deadline = 100 * ms
 	must.False(t, s.Admits(0, f, full(2)))
+	uploads := fullService(f)
+	uploads.congestion = 1 // many uploads are being sent, the answers are quick
+	must.True(t, uploads.Admits(0, f, full(4)))
 	l = full(1)
 	l.Late = l.Targets
 	must.True(t, s.AdmitsRemote(0, f, Remote{Load: l, Measured: 10, Fastest: 90 * ms}))
