overload: the floor counts answers; targets decide on requests that must not run twice

Cause: in a crowd rejected callers come again at once. An instance saw 900 attempts a second while its targets answered 30, so that a floor of 5 % of the attempts filled the targets. Urgent requests were rejected by an estimate of the queues while targets still took some.

Change: a class has every 20th arrival admitted only while it gets at most 5 % of the answers. A request that must not run twice is rejected only for its deadline; a full target says itself that it did not run it.

--- a/internal/overload/service.go
+++ b/internal/overload/service.go
@@ -28,8 +28,10 @@
 	// stays there for recoverAfter: the estimate varies from flow to flow.
 	recoverShare = 0.75
 	recoverAfter = 300 * time.Millisecond
-	// floorInterval is the number of consecutive arrivals of a class of which at least one
-	// is admitted: the floor of 5 %.
+	// floorShare is the share of the answers that each class gets at least. While a class is
+	// below it, one of floorInterval consecutive arrivals is admitted. It is no share of the
+	// arrivals, because rejected callers come again: in a crowd they would fill the targets.
+	floorShare    = 0.05
 	floorInterval = 20
 	// budgetShare is the fraction of the answers that repeated attempts may add.
 	budgetShare = 0.2
@@ -73,6 +75,8 @@
 	lastArrivalAt       time.Duration
 	// denied counts the consecutive flows that were rejected.
 	denied int
+	// answers counts the answered requests of the last second.
+	answers window
 	// serviceTime is the smallest mean latency, last updated at serviceTimeAt; 0 if unknown.
 	serviceTime   time.Duration
 	serviceTimeAt time.Duration
@@ -279,12 +283,12 @@
 	s.load, s.loadAt, s.remote = l, now, false
 	late := f.Class.Kind.Repeatable() && f.Objective > 0 && l.PerSlot() >= 1 && 2*l.Late > l.Targets
 	s.update(now, &l, late)
-	if f.Class.Priority == view.HighestPriority || f.Objective <= 0 || s.belowFloor(f.Class) {
+	if f.Class.Priority == view.HighestPriority || f.Objective <= 0 || s.belowFloor(now, f.Class) {
 		return true
 	}
 	q := l.PerSlot()
 	if !f.Class.Kind.Repeatable() {
-		return !s.noRoom(now, &l) && !s.afterDeadline(now, f, &l)
+		return !s.afterDeadline(now, f, &l)
 	}
 	if !s.slotsIdle(now, q) && s.exceedsBudget(now, f) {
 		return false
@@ -332,20 +336,20 @@
 	s.load, s.loadAt, s.remote = r.Load, now, true
 	late := f.Class.Kind.Repeatable() && f.Objective > 0 && 2*r.Late > r.Measured
 	s.update(now, &r.Load, late)
-	if f.Class.Priority == view.HighestPriority || f.Objective <= 0 || s.belowFloor(f.Class) {
+	if f.Class.Priority == view.HighestPriority || f.Objective <= 0 || s.belowFloor(now, f.Class) {
 		return true
 	}
 	if !f.Class.Kind.Repeatable() {
-		return !s.noRoom(now, &r.Load) && (f.Deadline <= 0 || r.Fastest <= f.Deadline)
+		return f.Deadline <= 0 || r.Fastest <= f.Deadline
 	}
 	return !late && !s.exceedsBudget(now, f) && !s.exceeds(now, &r.Load, s.limit(now, f.Class.Priority, &r.Load))
 }
 
-// belowFloor reports whether a flow is admitted because all flows of its class before it were
-// rejected.
-func (s *Service) belowFloor(c Class) bool {
+// belowFloor reports whether a flow is admitted because its class gets less than its floor.
+func (s *Service) belowFloor(now time.Duration, c Class) bool {
 	state := s.class(c)
-	return state == nil || state.denied >= floorInterval-1
+	return state == nil || state.denied >= floorInterval-1 &&
+		float64(state.answers.sum(now, 10)) <= floorShare*float64(s.answers.sum(now, 10))
 }
 
 // afterDeadline reports whether the answer to a request would arrive after its deadline. An
@@ -368,12 +372,6 @@
 	return s.repeats.sum(now, 11) >= budget
 }
 
-// noRoom reports whether the targets would reject a request: by count they are full, and they
-// have rejected others. Their queues may be longer than assumed.
-func (s *Service) noRoom(now time.Duration, l *Load) bool {
-	return l.PerSlot() >= l.room() && s.targetsTurnAway(now)
-}
-
 // targetsTurnAway reports whether the targets' queues are full, as shown by their answers of
 // the last half second.
 func (s *Service) targetsTurnAway(now time.Duration) bool {
@@ -436,6 +434,7 @@
 		c.recordQuick(quick)
 	}
 	s.answers.add(now)
+	c.answers.add(now)
 	c.recordLatency(now, latency)
 	if c.serviceTime > 0 {
 		s.recordCongestion(now, float64(latency)/float64(c.serviceTime))
