--- a/internal/overload/service_test.go
+++ b/internal/overload/service_test.go
@@ -144,7 +144,7 @@
 			if n < c.answers {
 				class = f.Class
 			}
-			s.Answer(now, class, 40*ms)
+			s.Answer(now, class, 400*ms) // the queues are long
 		}
 		admitted := 0
 		for range 10 * floorInterval {
