forwarding: order local targets by their paces

Cause: all instances prefer a new target at once, or skip it for the cost of its warm-up, and slower targets get as many flows as others.

Change: Limits.Pace. Local targets with credit precede those without, behind the decision between data centres, which is unchanged. Paces advance with the tick; a placement compares one number per target. Off: as before.

--- a/internal/forwarding/flows.go
+++ b/internal/forwarding/flows.go
@@ -123,13 +123,14 @@
 }
 
 // expireRequests counts requests without an answer after responseTimeout as unanswered.
-// Their flows may also have moved to another instance, which sees the answers; that affects
+// unanswered is called for each. Their flows may also have moved to another instance, which sees the answers; that affects
 // all targets alike and doesn't change their order.
-func (t *flowTable) expireRequests(now time.Duration) {
+func (t *flowTable) expireRequests(now time.Duration, unanswered func(*targetLoad)) {
 	for _, f := range t.flows {
 		if f.busy && now >= f.newDataAt+responseTimeout {
 			f.setBusy(false)
 			f.load.recordOutcome(now, false)
+			unanswered(f.load)
 		}
 	}
 }
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -29,14 +29,19 @@
 	// EvacuationRepeat is how long after an evacuation became known a retransmitted first
 	// packet still goes to the target that the original was sent to.
 	EvacuationRepeat time.Duration
+	// Pace enables the pacing of local targets.
+	Pace bool
 }
 
-// Event reports that a target became suspected or was cleared.
+// Event reports that a target became suspected or was cleared, or that its pacing began or ended.
 type Event struct {
 	Target *view.Target
 	Kind   EventKind
 	// SilentFor is the time since the target last responded, 0 if it never did.
 	SilentFor time.Duration
+	// Pace is the target's pace and Cause why its pacing began.
+	Pace  float64
+	Cause PaceCause
 }
 
 // EventKind is the kind of an Event.
@@ -46,6 +51,8 @@
 const (
 	Suspected EventKind = "suspected"
 	Cleared   EventKind = "cleared"
+	Paced     EventKind = "paced"
+	FullPace  EventKind = "at full pace"
 )
 
 // Observer receives events and timings from a Forwarder. Its methods must not block.
@@ -102,7 +109,7 @@
 	return &Forwarder{
 		View:          v,
 		limits:        l,
-		chooser:       chooser{zone: zone, instances: 1},
+		chooser:       chooser{zone: zone, instances: 1, paced: l.Pace},
 		flows:         newFlowTable(),
 		loads:         map[target.ID]*targetLoad{},
 		services:      map[service.ID]*serviceTargets{},
@@ -123,7 +130,11 @@
 	if l == nil {
 		return r, false
 	}
-	return l.report(0), l.avoided(now)
+	r = l.report(0)
+	if f.limits.Pace && l.pace.running {
+		r.Pace = l.pace.Value()
+	}
+	return r, l.avoided(now)
 }
 
 // UpdateTarget applies a change of a target in the view. It must be called after each
@@ -139,7 +150,9 @@
 		f.removeFromService(l)
 		listed = false
 	}
+	first, restarted := l.target == nil, l.target != nil && l.incarnation != t.Incarnation
 	l.setTarget(t)
+	l.pace.markChange(t, first, restarted, !f.View.Complete())
 	if !listed {
 		f.addToService(l)
 	}
@@ -288,6 +301,9 @@
 	var excluded exclusions
 	for n := range r.Shares {
 		share := r.Shares[(first+n)%len(r.Shares)]
+		if f.limits.Pace {
+			f.prepareZone(now, f.services[share.Service])
+		}
 		c := f.chooser.choose(now, f.View, f.services[share.Service], p)
 		excluded.add(c.excluded)
 		switch {
@@ -302,6 +318,7 @@
 		}
 		f.placements++
 		c.load.lastPlacement = f.placements
+		f.pacePlaced(now, c.load)
 		d := f.forwardTo(c.load, r, reason, c.candidates)
 		d.LocalEvacuated = c.excluded.localEvacuated
 		return d
@@ -429,6 +446,7 @@
 	silentFor := now - l.lastResponseAt
 	if l.recordResponse(now) {
 		f.observer.Event(now, Event{Target: l.target, Kind: Cleared, SilentFor: silentFor})
+		f.paceRecovered(now, l)
 	}
 }
 
@@ -440,6 +458,7 @@
 		took := now - state.newDataAt
 		state.load.recordLatency(now, took)
 		state.load.recordOutcome(now, true)
+		f.paceOutcome(now, state.load, took)
 		f.observer.ObserveSpan(Answer, took)
 		if state.sawFirstPacket && !state.answered {
 			f.observer.ObserveSpan(FirstAnswer, now-state.firstPacketAt)
@@ -489,7 +508,8 @@
 		idle = defaultIdleTimeout
 	}
 	f.flows.expireIdle(now, idle)
-	f.flows.expireRequests(now)
+	f.flows.expireRequests(now, func(l *targetLoad) { f.paceOutcome(now, l, 0) })
+	f.tickPaces(now)
 	var out []ResetFlow
 	for id, state := range f.flows.flows {
 		if f.ended(now, state.load.target) && state.opened {
--- a/internal/forwarding/load.go
+++ b/internal/forwarding/load.go
@@ -62,6 +62,8 @@
 	// failureShare is the share of unanswered requests at failureShareAt.
 	failureShare   float64
 	failureShareAt time.Duration
+	// pace is the pace of a target of the own data centre, if targets are paced.
+	pace targetPace
 }
 
 // newTargetLoad returns the load of a target without observations. The tie-break is random:
@@ -166,6 +168,8 @@
 	// Late is how many local targets answered late if a flow was rejected as Overloaded.
 	// Busy is then the sum over those of the data centre.
 	Late int
+	// Pace is the pace of the target, 0 if it is not paced. Only Load sets it.
+	Pace float64
 }
 
 func (l *targetLoad) report(candidates int) LoadReport {
--- /dev/null
+++ b/internal/forwarding/pacing.go
@@ -0,0 +1,277 @@
+package forwarding
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"guavaloom.example/guavaloom/internal/pace"
+	"guavaloom.example/guavaloom/internal/view"
+)
+
+// Pacing of the targets of the own data centre, see docs/design/target-pace.md. A pace orders
+// the local targets. It neither rejects a flow nor sends one to another data centre.
+
+const (
+	// usualSampleAge is the age up to which a target's latency counts for the usual one.
+	usualSampleAge = 3 * time.Second
+	// pacedBelow is the pace below which a target without a start is reported as paced. Single
+	// late answers take a target to 0.75.
+	pacedBelow = 0.5
+)
+
+// PaceCause says why a target is paced.
+type PaceCause string
+
+// Causes of pacing.
+const (
+	PaceStarted   PaceCause = "started"
+	PaceRecovered PaceCause = "recovered"
+	PaceReturned  PaceCause = "returned"
+	PaceEvacuated PaceCause = "evacuation_ended"
+	PaceSlow      PaceCause = "slow"
+)
+
+// targetPace is the pace of a target with what leads to its start.
+type targetPace struct {
+	pace.Pace
+	// pending is the cause of a start that is applied with the next placement or tick, when
+	// the time is known; empty if there is none.
+	pending PaceCause
+	// known is set if the target was in the first list, so that its start was not observed.
+	known bool
+	// running is set once the pace has been started.
+	running bool
+	// removed is set while the target's entry is removed.
+	removed bool
+	// reported is set while the target is reported as paced.
+	reported bool
+}
+
+// zonePacing is the state of pacing of a service's targets in a data centre.
+type zonePacing struct {
+	// earned is the sum of 1 / targets over the placements.
+	earned float64
+	// targets is how many targets the last placement could choose from.
+	targets int
+	// meanIdle is the mean utilization by idle flows at the last placement.
+	meanIdle float64
+	// usual is the usual latency; 0 if it is unknown.
+	usual time.Duration
+	// evacuated is set while the data centre is evacuated.
+	evacuated bool
+	// latencies is reused for the computation of the usual latency.
+	latencies []time.Duration
+}
+
+func (z *zonePacing) at(now time.Duration) pace.Time { return pace.Time{Now: now, Earned: z.earned} }
+
+// markChange notes what a change of the target's entry means for its pace. first is set if the
+// target is new here, restarted if it runs under another incarnation, listing while the
+// instance reads its first lists.
+func (p *targetPace) markChange(t *view.Target, first, restarted, listing bool) {
+	switch {
+	case first:
+		p.pending, p.known = PaceStarted, listing
+	case restarted:
+		p.pending, p.known = PaceStarted, false
+	case p.removed && !t.Removed && p.pending == "":
+		p.pending = PaceReturned
+	}
+	p.removed = t.Removed
+}
+
+// startPace applies a pending start. A started target counts as the one that got the latest
+// flow, since it would otherwise precede all others.
+func (f *Forwarder) startPace(now time.Duration, z *zoneTargets, l *targetLoad) {
+	p := &l.pace
+	cause := p.pending
+	value, credit := pace.Initial, rand.Float64()
+	if p.known {
+		if value = 1; now < l.target.WarmAt {
+			value = pace.ColdStart(l.target.WarmAt - now)
+		}
+		credit *= 2
+	}
+	known := p.known
+	p.pending, p.known, p.running = "", false, true
+	p.Start(z.pacing.at(now), value, credit)
+	if !known {
+		l.lastPlacement = f.placements
+	}
+	f.reportPace(now, l, cause)
+}
+
+// reportPace reports the begin and the end of pacing.
+func (f *Forwarder) reportPace(now time.Duration, l *targetLoad, cause PaceCause) {
+	p, value := &l.pace, l.pace.Value()
+	switch {
+	case !p.reported && (value < pacedBelow || cause != PaceSlow && value < 1):
+		p.reported = true
+		f.observer.Event(now, Event{Target: l.target, Kind: Paced, Pace: value, Cause: cause})
+	case p.reported && value >= 1:
+		p.reported = false
+		f.observer.Event(now, Event{Target: l.target, Kind: FullPace, Pace: value})
+	}
+}
+
+// pacedZone returns the targets among which a target is paced, nil if it is not paced.
+func (f *Forwarder) pacedZone(l *targetLoad) *zoneTargets {
+	if !f.limits.Pace || l.zone != f.chooser.zone {
+		return nil
+	}
+	s := f.services[l.service]
+	if s == nil {
+		return nil
+	}
+	return s.zone(l.zone)
+}
+
+// pacePlaced records a new flow on a target.
+func (f *Forwarder) pacePlaced(now time.Duration, l *targetLoad) {
+	z := f.pacedZone(l)
+	if z == nil || !l.pace.running {
+		return
+	}
+	z.pacing.earned += 1 / float64(max(z.pacing.targets, 1))
+	l.pace.Place(z.pacing.at(now))
+}
+
+// paceOutcome records the outcome of a request; latency is 0 if there was no answer.
+func (f *Forwarder) paceOutcome(now time.Duration, l *targetLoad, latency time.Duration) {
+	z := f.pacedZone(l)
+	if z == nil || !l.pace.running {
+		return
+	}
+	if latency > 0 {
+		l.pace.Answer(z.pacing.at(now), latency, z.pacing.usual)
+	} else {
+		l.pace.Fail(z.pacing.at(now))
+	}
+	f.reportPace(now, l, PaceSlow)
+}
+
+// paceRecovered notes that a target was cleared of a suspicion.
+func (f *Forwarder) paceRecovered(now time.Duration, l *targetLoad) {
+	if z := f.pacedZone(l); z != nil && l.pace.pending == "" {
+		l.pace.pending, l.pace.known = PaceRecovered, false
+		f.startPace(now, z, l)
+	}
+}
+
+// tickPaces applies the passing of time, and updates the usual latencies.
+func (f *Forwarder) tickPaces(now time.Duration) {
+	if !f.limits.Pace {
+		return
+	}
+	for _, s := range f.services {
+		if z := s.zone(f.chooser.zone); z != nil {
+			f.tickZone(now, z)
+		}
+	}
+}
+
+func (f *Forwarder) tickZone(now time.Duration, z *zoneTargets) {
+	q := &z.pacing
+	q.latencies = q.latencies[:0]
+	for _, l := range z.targets {
+		if l.latency > 0 && now <= l.latencyAt+usualSampleAge && !l.target.Removed {
+			q.latencies = append(q.latencies, l.latency)
+		}
+		if l.pace.pending != "" {
+			f.startPace(now, z, l)
+			continue
+		}
+		l.pace.Advance(q.at(now))
+		f.reportPace(now, l, PaceSlow)
+	}
+	q.usual = 0
+	if len(q.latencies) > 0 {
+		slices.Sort(q.latencies)
+		q.usual = q.latencies[(len(q.latencies)-1)/2]
+	}
+}
+
+// pacedChoice ranks the local targets by credit.
+type pacedChoice struct {
+	best pacedCandidate
+	idle float64
+}
+
+type pacedCandidate struct {
+	load *targetLoad
+	rank int
+	cost float64
+}
+
+// Ranks of local targets.
+const (
+	withCredit = iota
+	withoutCredit
+	unreliableTarget
+)
+
+// prepareZone notes the evacuation of the own data centre and starts the targets once it has ended.
+func (f *Forwarder) prepareZone(now time.Duration, s *serviceTargets) {
+	if s == nil {
+		return
+	}
+	z := s.zone(f.chooser.zone)
+	if z == nil {
+		return
+	}
+	evacuated := f.View.Evacuated(z.zone)
+	ended := z.pacing.evacuated && !evacuated
+	z.pacing.evacuated = evacuated
+	if !ended {
+		return
+	}
+	for _, l := range z.targets {
+		if l.pace.pending == "" {
+			l.pace.pending, l.pace.known = PaceEvacuated, false
+		}
+		f.startPace(now, z, l)
+	}
+}
+
+// add ranks a target.
+func (c *pacedChoice) add(now time.Duration, z *zonePacing, l *targetLoad, o candidate, instances int, reliable bool) {
+	idle := o.cost - o.utilization
+	c.idle += idle
+	p := pacedCandidate{load: l, cost: o.cost}
+	if now < l.target.WarmAt { // the pace takes the place of the cost of the warm-up
+		work := float64((l.busy+l.opening)*instances) / float64(l.target.Slots)
+		p.cost -= work*(warmUpCostFactor-1) + warmUpCostFactor - 1
+	}
+	if idle < z.meanIdle && l.pace.Value() < 1 {
+		p.cost += z.meanIdle - idle
+	}
+	switch {
+	case !reliable:
+		p.rank = unreliableTarget
+	case !l.pace.running || !l.pace.Ready(z.earned) || l.busy+l.opening >= l.target.Slots:
+		p.rank = withoutCredit
+	}
+	if c.best.load == nil || p.better(&c.best) {
+		c.best = p
+	}
+}
+
+func (o *pacedCandidate) better(than *pacedCandidate) bool {
+	if o.rank != than.rank {
+		return o.rank < than.rank
+	}
+	if o.cost != than.cost {
+		return o.cost < than.cost
+	}
+	return cmp.Or(cmp.Compare(o.load.lastPlacement, than.load.lastPlacement), cmp.Compare(o.load.tieBreak, than.load.tieBreak)) < 0
+}
+
+// finish keeps what the next placement needs.
+func (c *pacedChoice) finish(z *zonePacing, targets int) {
+	z.targets = targets
+	if targets > 0 {
+		z.meanIdle = c.idle / float64(targets)
+	}
+}
--- a/internal/forwarding/placement.go
+++ b/internal/forwarding/placement.go
@@ -28,6 +28,8 @@
 	zone string
 	// instances is how many instances share the load of this data centre's targets.
 	instances int
+	// paced is set if local targets are ordered by their paces.
+	paced bool
 	// rotation is where the next examination of remote targets begins.
 	rotation int
 }
@@ -84,18 +86,21 @@
 		return out
 	}
 	var best bestCandidates
+	var paced pacedChoice
 	if z := s.zone(c.zone); z != nil && c.mayUse(v, z, p.route, &out.excluded) {
-		c.examineLocal(now, v, z, p, &best, &out)
+		c.examineLocal(now, v, z, p, &best, &paced, &out)
 	}
 	overloaded := p.maxLatency > 0 && out.local.overloaded(c.instances)
 	if !overloaded && best.local.load != nil && best.local.utilization < remotePenaltyFor(p.route.Kind) {
-		out.load = best.local.load // no remote target can rank before it
+		out.load = c.orderByPace(&paced, best.local.load) // no remote target can rank before it
 		return out
 	}
 	var remote remoteCandidates
 	c.examineRemote(now, v, s, p, &best, &remote, &out)
 	if !overloaded {
-		out.load = best.pick(p.route.Kind)
+		if out.load = best.pick(p.route.Kind); out.load == best.local.load {
+			out.load = c.orderByPace(&paced, out.load)
+		}
 		return out
 	}
 	out.load = remote.pick()
@@ -117,7 +122,7 @@
 	return true
 }
 
-func (c *chooser) examineLocal(now time.Duration, v *view.View, z *zoneTargets, p flowParams, best *bestCandidates, out *choice) {
+func (c *chooser) examineLocal(now time.Duration, v *view.View, z *zoneTargets, p flowParams, best *bestCandidates, paced *pacedChoice, out *choice) {
 	for _, l := range z.targets {
 		if !v.AcceptsNewFlows(now, l.target) {
 			continue
@@ -125,10 +130,25 @@
 		out.candidates++
 		o, reliable := c.assess(now, l, c.instances, p)
 		best.local.keepBetter(o)
+		if c.paced {
+			paced.add(now, &z.pacing, l, o, c.instances, reliable)
+		}
 		if reliable {
 			out.local.add(now, l, p.maxLatency)
 		}
 	}
+	if c.paced {
+		paced.finish(&z.pacing, out.candidates)
+	}
+}
+
+// orderByPace returns the local target to be given a flow, where best is the one without regard
+// to the paces.
+func (c *chooser) orderByPace(paced *pacedChoice, best *targetLoad) *targetLoad {
+	if !c.paced || best == nil {
+		return best
+	}
+	return paced.best.load
 }
 
 func (c *chooser) examineRemote(now time.Duration, v *view.View, s *serviceTargets, p flowParams, best *bestCandidates, remote *remoteCandidates, out *choice) {
--- a/internal/forwarding/service_targets.go
+++ b/internal/forwarding/service_targets.go
@@ -14,6 +14,7 @@
 type zoneTargets struct {
 	zone    string
 	targets []*targetLoad
+	pacing  zonePacing
 }
 
 // zone returns the targets of a data centre, nil if there are none.
