edge: setting, counter, log lines and status of paces

Cause: operators need to see which targets are held back and why.

Change: [balancing] pace sets forwarding.Limits.Pace. guavaloom_edge_paces_total, lines "target paced" and "target at full pace" within the limit of the target class, pace in /status.

--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -135,6 +135,7 @@
 		instancesListed: make(chan struct{}),
 	}
 	i.counters = newCounters(i.metrics)
+	i.timing.Forwarding.Pace = s.Pace
 	i.forward = forwarding.New(s.Zone, i.timing.Forwarding, view.New(i.timing.View), observer{i})
 	i.forward.View.SetRegions(s.Regions)
 	if p.EvacuationKind != "" {
--- a/internal/edge/telemetry.go
+++ b/internal/edge/telemetry.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"math"
 	"net/netip"
 	"strings"
 	"time"
@@ -152,6 +153,10 @@
 
 // Event implements forwarding.Observer.
 func (o observer) Event(_ time.Duration, e forwarding.Event) {
+	if e.Kind == forwarding.Paced || e.Kind == forwarding.FullPace {
+		o.paceEvent(e)
+		return
+	}
 	o.i.metrics.Counter(metric.EdgeSuspects, string(e.Kind)).Inc(1)
 	o.i.log.Event(targetClass, "target "+string(e.Kind), logrus.Fields{
 		logfield.Target: string(e.Target.ID), logfield.Service: string(e.Target.Service),
@@ -159,5 +164,22 @@
 	})
 }
 
+// paceEvent writes the begin or the end of a target's pacing.
+func (o observer) paceEvent(e forwarding.Event) {
+	label := "full"
+	if e.Kind == forwarding.Paced {
+		label = string(e.Cause)
+	}
+	o.i.metrics.Counter(metric.EdgePaces, label).Inc(1)
+	fields := logrus.Fields{
+		logfield.Target: string(e.Target.ID), logfield.Service: string(e.Target.Service), logfield.Zone: e.Target.Zone,
+		logfield.Pace: math.Round(e.Pace*100) / 100,
+	}
+	if e.Cause != "" {
+		fields[logfield.Reason] = string(e.Cause)
+	}
+	o.i.log.Event(targetClass, "target "+string(e.Kind), fields)
+}
+
 // ObserveSpan implements forwarding.Observer.
 func (o observer) ObserveSpan(s forwarding.Span, d time.Duration) { o.i.counters.times[s].Observe(d) }
--- a/internal/explain/edge.go
+++ b/internal/explain/edge.go
@@ -42,4 +42,7 @@
 	Open          int   `json:"open"`
 	Busy          int   `json:"busy"`
 	LatencyMillis int64 `json:"latency_ms"`
+	// Pace is the fraction of a fair share of new flows that the instance gives to the target;
+	// 0 if the target is not paced.
+	Pace float64 `json:"pace,omitempty"`
 }
--- a/internal/logfield/logfield.go
+++ b/internal/logfield/logfield.go
@@ -32,6 +32,7 @@
 	Kind        = "kind"
 	Latency     = "latency_ms"
 	Open        = "open"
+	Pace        = "pace"
 	Part        = "part"
 	Stack       = "stack"
 	Peer        = "peer"
--- a/internal/metric/names.go
+++ b/internal/metric/names.go
@@ -36,6 +36,7 @@
 var (
 	EdgePackets       = Declaration{"guavaloom_edge_packets_total", "packets", "Client packets, by verdict (forward, reset or drop) and reason.", Counter, "outcome"}
 	EdgeSuspects      = Declaration{"guavaloom_edge_suspects_total", "events", "Targets that were suspected of failure or cleared of suspicion, by event.", Counter, "event"}
+	EdgePaces         = Declaration{"guavaloom_edge_paces_total", "events", "Targets whose pacing began, by cause, or reached its full pace (full).", Counter, "event"}
 	EdgeTimes         = Declaration{"guavaloom_edge_time_ms", "milliseconds", "Durations measured in the packets of flows, by span: opening, first_data and first_answer since the first packet of the flow, answer since the last packet of the request.", Histogram, "span"}
 	EdgeUsedViewAge   = Declaration{"guavaloom_edge_used_view_age_ms", "milliseconds", "Age of the view at placements and refusals, by part (config or targets).", Histogram, "part"}
 	EdgeFlows         = Declaration{"guavaloom_edge_flows", "flows", "Flows that the instance tracks and that have not ended.", Gauge, ""}
