forwarding: take in reports about targets

Cause: the reports between instances need an input for what others observed.

Change: Forwarder.ObserveReport passes the relative latency and the number of answers to the target's pace.

--- a/internal/forwarding/pacing.go
+++ b/internal/forwarding/pacing.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"guavaloom.example/guavaloom/internal/pace"
+	"guavaloom.example/guavaloom/internal/target"
 	"guavaloom.example/guavaloom/internal/view"
 )
 
@@ -187,6 +188,19 @@
 	}
 }
 
+// ObserveReport applies what other instances report about a target: its mean latency relative to
+// the usual one, over a number of answers.
+func (f *Forwarder) ObserveReport(now time.Duration, id target.ID, relative float64, answers int) {
+	l := f.loads[id]
+	if l == nil || !l.pace.running {
+		return
+	}
+	if z := f.pacedZone(l); z != nil {
+		l.pace.Observe(z.pacing.at(now), relative, answers)
+		f.reportPace(now, l, PaceSlow)
+	}
+}
+
 // tickPaces applies the passing of time, and updates the usual latencies.
 func (f *Forwarder) tickPaces(now time.Duration) {
 	if !f.limits.Pace {
--- a/internal/forwarding/pacing_test.go
+++ b/internal/forwarding/pacing_test.go
@@ -690,3 +690,26 @@
 	share(20*time.Second, 40*time.Second, false) // its unanswered flows are forgotten
 	must.Greater(t, 0.15, share(40*time.Second, 50*time.Second, false))
 }
+
+// Guards against reports of other instances without effect on the flows of a slow target.
+func TestPaceFromReports(t *testing.T) {
+	b := pacedFixture(4, "a")
+	b.Tick(time.Second)
+	for n := range 5 {
+		b.ObserveReport(time.Second+time.Duration(n)*300*ms, "i-0", 6, 12)
+	}
+	must.InDelta(t, 1.0/6, b.pace(3*time.Second, "i-0"), 0.02)
+	b.ObserveReport(3*time.Second, "i-unknown", 6, 12)
+}
+
+// Guards against a tick that grows with the fleet beyond its share of a core.
+func BenchmarkTickPaces(b *testing.B) {
+	f := pacedFixture(3000, "a")
+	for _, l := range f.loads {
+		l.latency, l.latencyAt = time.Duration(l.tieBreak%100)*ms, 0
+	}
+	b.ReportAllocs()
+	for range b.N {
+		f.tickPaces(ms)
+	}
+}
