--- a/internal/cli/instances.go
+++ b/internal/cli/instances.go
@@ -58,8 +58,12 @@
 	}
 	for _, tg := range s.Targets {
 		if targets {
-			lines = append(lines, fmt.Sprintf("  %s of %s in %s: %s, %d flows, %d requests in flight, %d ms",
-				tg.Target, tg.Service, tg.Zone, tg.State, tg.Open, tg.Busy, tg.LatencyMillis))
+			line := fmt.Sprintf("  %s of %s in %s: %s, %d flows, %d requests in flight, %d ms",
+				tg.Target, tg.Service, tg.Zone, tg.State, tg.Open, tg.Busy, tg.LatencyMillis)
+			if tg.Pace > 0 {
+				line += fmt.Sprintf(", pace %.2f", tg.Pace)
+			}
+			lines = append(lines, line)
 		}
 	}
 	return lines
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -408,6 +408,31 @@
 	}
 }
 
+// Guards against a target that is held back without an operator seeing it, or for ever.
+func TestPaceIsShown(t *testing.T) {
+	s := newSite(t)
+	s.pace = true
+	s.target("i-a1", 0xa1)
+	one := s.start(1, s.store.Addr())
+	one.awaitReady()
+	s.target("i-a2", 0xa2)
+	paces := func() map[string]float64 {
+		out := map[string]float64{}
+		for _, tg := range one.status().Targets {
+			out[tg.Target] = tg.Pace
+		}
+		return out
+	}
+	eventually(t, "a line about the start", func() bool {
+		return strings.Contains(one.log.String(), `"msg":"target paced","pace":0.25,"reason":"started","service":"booking","target":"i-a2"`)
+	})
+	must.Eq(t, 1, paces()["i-a1"])
+	must.StrContains(t, one.metrics(), `guavaloom_edge_paces_total{event="started"} 1`)
+	eventually(t, "full pace", func() bool { return strings.Contains(one.log.String(), `"msg":"target at full pace"`) })
+	must.Eq(t, 1, paces()["i-a2"])
+	must.StrContains(t, one.metrics(), `guavaloom_edge_paces_total{event="full"} 1`)
+}
+
 func (n *node) metrics() string { return string(n.get("/metrics")) }
 
 func (n *node) status() (s explain.EdgeStatus) {
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -48,6 +48,8 @@
 	t          *testing.T
 	store      *standin.Store
 	packetPort uint16
+	// pace enables the pacing of targets in instances that start.
+	pace bool
 }
 
 func newSite(t *testing.T) *testSite {
@@ -135,6 +137,7 @@
 	set := &edge.Settings{
 		Name: fmt.Sprintf("instance-%d", n), Zone: "a", Packet: netip.AddrPortFrom(ip, s.packetPort),
 		Ready: at(), Peer: at(), Admin: at(), Store: store, Seeds: seeds, MemoryMB: 128, Workers: 1, Deployment: edge.DefaultDeployment(),
+		Pace: s.pace,
 	}
 	log := &lockedBuffer{}
 	logger, err := logfield.New(log, "info", logfield.JSON)
