--- a/internal/forwarding/pacing.go
+++ b/internal/forwarding/pacing.go
@@ -49,6 +49,8 @@
 	startedAt time.Duration
 	// forgivenAt is when a recovery last cleared the failures before it; 0 if none did.
 	forgivenAt time.Duration
+	// longestWait is the longest time that a request in flight has waited at the present tick.
+	longestWait time.Duration
 	// removed is set while the target's entry is removed.
 	removed bool
 	// reported is set while the target is reported as paced.
@@ -167,11 +169,11 @@
 	f.reportPace(now, l, PaceSlow)
 }
 
-// paceWait records a request that waits for its answer.
+// paceWait records a request that waits for its answer. Only the longest wait at a target counts
+// with a tick: requests in one queue are one observation.
 func (f *Forwarder) paceWait(now time.Duration, s *flowState) {
-	l := s.load
-	if z := f.pacedZone(l); z != nil && l.pace.running && s.newDataAt >= l.pace.startedAt {
-		l.pace.Wait(z.pacing.at(now), now-s.newDataAt, z.pacing.usual)
+	if p := &s.load.pace; p.running && s.newDataAt >= p.startedAt {
+		p.longestWait = max(p.longestWait, now-s.newDataAt)
 	}
 }
 
@@ -225,6 +227,8 @@
 			continue
 		}
 		l.pace.Advance(q.at(now))
+		l.pace.Wait(q.at(now), l.pace.longestWait, q.usual)
+		l.pace.longestWait = 0
 		f.reportPace(now, l, PaceSlow)
 	}
 	q.usual = 0
