--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -94,6 +94,18 @@
 	must.InDelta(t, 1, p.Value(), 0.01)
 }
 
+// Guards against waiting for the answers of a target that became slow before it gets fewer
+// flows, and against counting waits that are usual.
+func TestWait(t *testing.T) {
+	p := started(1)
+	p.Wait(Time{}, 2*usual, usual)
+	must.Eq(t, 1, p.Value())
+	p.Wait(Time{}, 6*usual, usual)
+	must.InDelta(t, 0.5, p.Value(), 0.01)
+	p.Wait(Time{Now: time.Second}, 6*usual, 0) // without a usual latency
+	must.Greater(t, 0.4, p.Value())
+}
+
 // Guards against reports of others that outweigh own fresh observations, and against ignoring
 // them without any.
 func TestObserve(t *testing.T) {
