--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -137,6 +137,7 @@
 	i.counters = newCounters(i.metrics)
 	i.timing.Forwarding.DetectRefusals = s.Pace || s.Overload
 	i.timing.Forwarding.Overload = s.Overload
+	i.timing.Forwarding.Pace = s.Pace
 	i.forward = forwarding.New(s.Zone, i.timing.Forwarding, view.New(i.timing.View), observer{i})
 	i.forward.View.SetRegions(s.Regions)
 	if p.EvacuationKind != "" {
--- a/internal/overload/service.go
+++ b/internal/overload/service.go
@@ -336,7 +336,7 @@
 	s.load, s.loadAt, s.remote = r.Load, now, true
 	late := f.Class.Kind.Repeatable() && f.Objective > 0 && 2*r.Late > r.Measured
 	s.update(now, &r.Load, late)
-	if f.Class.Priority == view.HighestPriority || f.Objective <= 0 || s.belowFloor(now, f.Class) {
+	if f.Class.Priority == view.HighestPriority || f.Objective <= 0 || s.probes(f.Class) {
 		return true
 	}
 	if !f.Class.Kind.Repeatable() {
@@ -348,8 +348,16 @@
 // belowFloor reports whether a flow is admitted because its class gets less than its floor.
 func (s *Service) belowFloor(now time.Duration, c Class) bool {
 	state := s.class(c)
-	return state == nil || state.denied >= floorInterval-1 &&
-		float64(state.answers.sum(now, 10)) <= floorShare*float64(s.answers.sum(now, 10))
+	return s.probes(c) && (state == nil ||
+		float64(state.answers.sum(now, 10)) <= floorShare*float64(s.answers.sum(now, 10)))
+}
+
+// probes reports whether a flow is admitted because the floorInterval-1 flows of its class before
+// it were rejected. The answers of remote targets, whose load is not known, tell when there is
+// room again.
+func (s *Service) probes(c Class) bool {
+	state := s.class(c)
+	return state == nil || state.denied >= floorInterval-1
 }
 
 // afterDeadline reports whether the answer to a request would arrive after its deadline. An
