allowance: a raised limit applies at once

Cause: the window took its oldest use for several when the limit rose, so that a share that grew had no effect for up to a second.

Change: the window remembers the newest time that it dropped and counts only that one for the uses that it may have forgotten.

Measured: TestRaisedLimitAppliesAtOnce and the other window tests pass with 2,000 rapid checks (go test -run 'Window|Raised|Flood' -rapid.checks=2000).

--- a/internal/allowance/window.go
+++ b/internal/allowance/window.go
@@ -17,6 +17,9 @@
 	newest []time.Duration
 	next   int
 	count  int // times in the ring
+	// dropped is the newest time that the ring no longer has, if forgot is set.
+	dropped time.Duration
+	forgot  bool
 }
 
 // SetLimit sets how many uses any sliding second may have, at most MaxShare. It allocates only
@@ -31,11 +34,12 @@
 	times := w.times()
 	switch {
 	case len(times) > size:
+		w.drop(times[len(times)-size-1])
 		times = times[len(times)-size:]
-	case len(times) > 0 && w.count == len(w.newest):
-		// The ring may have overwritten uses that are not older than a second. None of them is
-		// newer than the oldest one left.
-		times = slices.Concat(slices.Repeat(times[:1], size-len(times)), times)
+	case w.forgot:
+		// Nobody knows how many of the dropped uses were in the last second, but none of them
+		// is newer than the last one.
+		times = slices.Concat(slices.Repeat([]time.Duration{w.dropped}, size-len(times)), times)
 	}
 	w.newest = make([]time.Duration, size)
 	w.count = copy(w.newest, times)
@@ -66,11 +70,17 @@
 	if len(w.newest) == 0 {
 		return // no limit has been set
 	}
+	if w.count == len(w.newest) {
+		w.drop(w.newest[w.next])
+	}
 	w.newest[w.next] = now
 	w.next = (w.next + 1) % len(w.newest)
 	w.count = min(w.count+1, len(w.newest))
 }
 
+// drop records that a time is no longer in the ring.
+func (w *Window) drop(at time.Duration) { w.dropped, w.forgot = at, true }
+
 // Limit returns how many uses a sliding second may have.
 func (w *Window) Limit() int { return w.limit }
 
--- a/internal/allowance/window_test.go
+++ b/internal/allowance/window_test.go
@@ -120,3 +120,20 @@
 		}
 	}
 }
+
+// Guards against a raised limit that has no effect for a second, because the window takes uses
+// for forgotten that never were.
+func TestRaisedLimitAppliesAtOnce(t *testing.T) {
+	var w Window
+	w.SetLimit(2)
+	w.Use(0)
+	w.Use(ms)
+	must.False(t, w.Allows(2*ms))
+	w.SetLimit(3)
+	must.True(t, w.Allows(2*ms))
+	w.Use(2 * ms)
+	w.Use(3 * ms) // beyond the limit
+	w.SetLimit(5)
+	must.False(t, w.Allows(4*ms)) // the use at 0 may stand for several
+	must.True(t, w.Allows(Period))
+}
