forwarding: cold targets get flows within the allowance only

Cause: every instance sent all flows that it liked to a target that had just started; with n instances the target got n times what one of them gave it.

Change: a cold target of the own data centre is a candidate only while this instance has allowance left, cold targets of other data centres never are. If nothing else is left the flow is reset with reason cold, a retransmission is dropped. First packets that are repeated to the same target and requests on open flows use the allowance and are not held back. Services without a rate are served as before.

Nothing calls SetColdInstances yet.

--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -229,6 +229,7 @@
 		// The target's answer may be in transit, and a second target must not answer too.
 		if !f.ended(now, state.load.target) {
 			state.lastSeenAt = now
+			f.useAllowance(now, state.load) // the original may have been lost
 			return f.forwardTo(state.load, r, Repeated, 0)
 		}
 	}
@@ -288,6 +289,7 @@
 	var excluded exclusions
 	for n := range r.Shares {
 		share := r.Shares[(first+n)%len(r.Shares)]
+		p.coldRate = f.View.Config().ColdRates[share.Service]
 		c := f.chooser.choose(now, f.View, f.services[share.Service], p)
 		excluded.add(c.excluded)
 		switch {
@@ -302,8 +304,9 @@
 		}
 		f.placements++
 		c.load.lastPlacement = f.placements
+		f.useAllowance(now, c.load)
 		d := f.forwardTo(c.load, r, reason, c.candidates)
-		d.LocalEvacuated = c.excluded.localEvacuated
+		d.LocalEvacuated, d.HeldBack = c.excluded.localEvacuated, c.excluded.localCold
 		return d
 	}
 	return f.noTarget(now, r, s.Ack > 0, excluded)
@@ -461,6 +464,7 @@
 		return
 	}
 	if !state.busy {
+		f.useForRequest(now, state)
 		state.requestSeq = s.Seq
 		state.setBusy(true)
 	}
--- a/internal/forwarding/load.go
+++ b/internal/forwarding/load.go
@@ -62,6 +62,7 @@
 	// failureShare is the share of unanswered requests at failureShareAt.
 	failureShare   float64
 	failureShareAt time.Duration
+	cold           *coldTarget // nil if the target was not found cold
 }
 
 // newTargetLoad returns the load of a target without observations. The tie-break is random:
--- a/internal/forwarding/placement.go
+++ b/internal/forwarding/placement.go
@@ -30,6 +30,7 @@
 	instances int
 	// rotation is where the next examination of remote targets begins.
 	rotation int
+	cold     coldLimits
 }
 
 // flowParams are the properties of a new flow that affect the choice of its target.
@@ -40,26 +41,33 @@
 	// maxLatency is the latency above which a target is late for the flow; 0 if the flow is
 	// placed regardless of latency.
 	maxLatency time.Duration
+	// coldRate is the rate of the service's cold targets; 0 if it has no limit.
+	coldRate float64
 }
 
 // exclusions say why targets that are able to serve a flow were not considered for it.
-type exclusions struct{ evacuated, localEvacuated, noHome bool }
+type exclusions struct{ evacuated, localEvacuated, noHome, cold, localCold bool }
 
 func (e *exclusions) add(o exclusions) {
 	e.evacuated = e.evacuated || o.evacuated
 	e.localEvacuated = e.localEvacuated || o.localEvacuated
 	e.noHome = e.noHome || o.noHome
+	e.cold = e.cold || o.cold
+	e.localCold = e.localCold || o.localCold
 }
 
-func (e *exclusions) any() bool { return e.evacuated || e.noHome }
+func (e *exclusions) any() bool { return e.evacuated || e.noHome || e.cold }
 
 // reason returns the reason to report: an operator can withdraw an evacuation, while the homes
-// of a route rule a target out whatever happens.
+// of a route rule a target out whatever happens. Cold targets become warm by themselves.
 func (e *exclusions) reason() Reason {
-	if e.evacuated {
+	switch {
+	case e.evacuated:
 		return Evacuated
+	case e.noHome:
+		return NoHome
 	}
-	return NoHome
+	return Cold
 }
 
 // choice is the result of choosing a target.
@@ -119,7 +127,7 @@
 
 func (c *chooser) examineLocal(now time.Duration, v *view.View, z *zoneTargets, p flowParams, best *bestCandidates, out *choice) {
 	for _, l := range z.targets {
-		if !v.AcceptsNewFlows(now, l.target) {
+		if !v.AcceptsNewFlows(now, l.target) || c.holdsBack(now, l, p.coldRate, &out.excluded) {
 			continue
 		}
 		out.candidates++
@@ -147,6 +155,9 @@
 			if left--; left < 0 {
 				break
 			}
+			if c.holdsBack(now, l, p.coldRate, &out.excluded) {
+				continue
+			}
 			out.candidates++
 			o, reliable := c.assess(now, l, 1, p)
 			best.remote.keepBetter(o)
--- a/internal/forwarding/segment.go
+++ b/internal/forwarding/segment.go
@@ -100,6 +100,8 @@
 	Evacuated Reason = "evacuated"
 	// NoHome: the targets that could serve the flow are outside the route's home regions.
 	NoHome Reason = "no_home"
+	// Cold: the targets that could serve the flow have just started and may not get more flows now.
+	Cold Reason = "cold"
 	// Overloaded: most targets of the service answer too late for the route.
 	Overloaded Reason = "overloaded"
 	// NotReady: the configuration or the targets have not been received yet.
@@ -133,4 +135,7 @@
 	// LocalEvacuated is set if the flow was placed while the targets of the own data centre
 	// could not be used because it is evacuated.
 	LocalEvacuated bool
+	// HeldBack is set if a cold target of the own data centre could not be considered because
+	// no allowance was left.
+	HeldBack bool
 }
