edge: shares of the allowance of cold targets; status and counter

Cause: the forwarder did not know which instances share the allowance.

Change: the registry's instances of the data centre, with those of the last 30 s, go to the forwarder with warmup_overage and warmup_slack. An instance gives cold targets nothing until 2 s after it first saw its own entry: in a fleet that starts at once the first to register would take the share of a single instance, the next that of two. The status of a cold target shows share and use; guavaloom_edge_cold_flows_total counts flows held back and refused.

Measured: go test ./internal/edge ./internal/forwarding ./internal/explain ./internal/metric ./internal/doccheck passes.

--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -64,6 +64,7 @@
 		}
 	case i.platform.InstanceKind:
 		i.forward.SetInstances(i.registry.zoneSize())
+		i.updateColdInstances(now)
 	case i.platform.EvacuationKind:
 		i.forward.View.EvacuationsFreshAt = now - age
 		if u.First {
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -27,6 +27,7 @@
 	"guavaloom.example/guavaloom/internal/metric"
 	"guavaloom.example/guavaloom/internal/objectstore"
 	"guavaloom.example/guavaloom/internal/packet"
+	"guavaloom.example/guavaloom/internal/rendezvous"
 	"guavaloom.example/guavaloom/internal/replica"
 	"guavaloom.example/guavaloom/internal/view"
 )
@@ -110,6 +111,10 @@
 
 	mu      sync.Mutex // guards all below
 	forward *forwarding.Forwarder
+	// recent has the instances that share the allowance of cold targets, ownEntryAt is when this
+	// instance first saw its own entry; valid if recent is not empty.
+	recent     recentInstances
+	ownEntryAt time.Duration
 	// lastPacketAt is when the last packet arrived.
 	lastPacketAt time.Duration
 	// heldPackets are packets that arrived before the view was complete.
@@ -131,12 +136,14 @@
 		registry:   newRegistry(s),
 		peerClient: &http.Client{Transport: p.Transport},
 		stopped:    make(chan struct{}),
+		recent:     recentInstances{},
 
 		instancesListed: make(chan struct{}),
 	}
 	i.counters = newCounters(i.metrics)
 	i.forward = forwarding.New(s.Zone, i.timing.Forwarding, view.New(i.timing.View), observer{i})
 	i.forward.View.SetRegions(s.Regions)
+	i.forward.SetColdLimits(s.Deployment.WarmUpOverage, s.Deployment.WarmUpSlack, rendezvous.Seed(s.Name))
 	if p.EvacuationKind != "" {
 		i.forward.View.RequireEvacuations()
 	}
@@ -329,6 +336,7 @@
 	i.mu.Lock()
 	i.settleTargets(now)
 	i.settleEvacuations(now)
+	i.updateColdInstances(now)
 	resets := i.forward.Tick(now)
 	i.counters.flows.Update(float64(i.forward.Flows()))
 	i.logReadinessChange()
--- a/internal/edge/registry.go
+++ b/internal/edge/registry.go
@@ -57,6 +57,8 @@
 	ranks        map[string][]*peer
 	healthByAddr map[netip.AddrPort]*health
 	rotation     int
+	// selfListed is set once this instance's own entry was seen.
+	selfListed bool
 }
 
 func newRegistry(s *Settings) *registry {
@@ -80,11 +82,12 @@
 
 // put records a registered instance.
 func (r *registry) put(name, zone string, addr netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if name == r.self.name {
+		r.selfListed = true
 		return
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.removeLocked(name)
 	r.insert(newPeer(name, zone, addr))
 }
--- a/internal/edge/status.go
+++ b/internal/edge/status.go
@@ -51,5 +51,6 @@
 	return explain.TargetStatus{
 		Target: string(t.ID), Service: string(t.Service), Zone: t.Zone, State: state,
 		Open: load.Open, Busy: load.Busy, LatencyMillis: load.Latency.Milliseconds(),
+		Allowance: i.allowanceStatus(now, t),
 	}
 }
--- a/internal/edge/telemetry.go
+++ b/internal/edge/telemetry.go
@@ -111,6 +111,7 @@
 	times    map[forwarding.Span]*metric.LatencyHistogram
 	// configAge and targetAge are the ages of the view in placements and refusals.
 	configAge, targetAge *metric.LatencyHistogram
+	cold                 coldCounters
 }
 
 type outcome struct {
@@ -126,6 +127,7 @@
 		times:     map[forwarding.Span]*metric.LatencyHistogram{},
 		configAge: s.Histogram(metric.EdgeUsedViewAge, "config"),
 		targetAge: s.Histogram(metric.EdgeUsedViewAge, "targets"),
+		cold:      newColdCounters(s),
 	}
 	for _, span := range []forwarding.Span{forwarding.Opening, forwarding.FirstData, forwarding.FirstAnswer, forwarding.Answer} {
 		c.times[span] = s.Histogram(metric.EdgeTimes, span.String())
@@ -143,6 +145,7 @@
 		c.outcomes[o] = counter
 	}
 	counter.Inc(1)
+	c.cold.count(&d)
 }
 
 // observer writes the forwarder's events to the log and the metrics.
--- a/internal/explain/edge.go
+++ b/internal/explain/edge.go
@@ -42,4 +42,14 @@
 	Open          int   `json:"open"`
 	Busy          int   `json:"busy"`
 	LatencyMillis int64 `json:"latency_ms"`
+	// Allowance is missing if the target is warm or its service has no rate for cold targets.
+	Allowance *AllowanceStatus `json:"allowance,omitempty"`
+}
+
+// AllowanceStatus is what an instance may give a cold target.
+type AllowanceStatus struct {
+	// Share is how many flows the instance may give the target in any sliding second; 0 for
+	// targets of other data centres. Used is how many the last second had.
+	Share int `json:"share"`
+	Used  int `json:"used"`
 }
--- a/internal/metric/names.go
+++ b/internal/metric/names.go
@@ -51,5 +51,6 @@
 	EdgeChanges       = Declaration{"guavaloom_edge_view_changes_total", "changes", "Changes of the view, by kind.", Counter, "change"}
 	EdgeSkippedInputs = Declaration{"guavaloom_edge_skipped_inputs_total", "inputs", "Packets and entries skipped because processing them panicked, by part of the program.", Counter, "part"}
 	EdgeEvacuations   = Declaration{"guavaloom_edge_evacuations", "data centres", "Evacuated data centres known to the instance.", Gauge, ""}
+	EdgeColdFlows     = Declaration{"guavaloom_edge_cold_flows_total", "flows", "Flows affected by the allowance of cold targets: held_back from a cold target and placed elsewhere, or refused.", Counter, "outcome"}
 	EdgeUnreadable    = Declaration{"guavaloom_edge_unreadable_total", "entries", "Entries of the store that could not be read, by kind.", Counter, "kind"}
 )
