--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -48,11 +48,12 @@
 	t          *testing.T
 	store      *standin.Store
 	packetPort uint16
+	deployment edge.Deployment
 }
 
 func newSite(t *testing.T) *testSite {
 	t.Helper()
-	s := &testSite{t: t, store: standin.New(), packetPort: freePort(t)}
+	s := &testSite{t: t, store: standin.New(), packetPort: freePort(t), deployment: edge.DefaultDeployment()}
 	t.Cleanup(s.store.Close)
 	s.configure(1)
 	return s
@@ -89,9 +90,16 @@
 
 // target starts and registers a target.
 func (s *testSite) target(id string, key uint64) *standin.Target {
+	s.t.Helper()
+	return s.coldTarget(id, key, 0)
+}
+
+// coldTarget starts and registers a target that is cold for some time.
+func (s *testSite) coldTarget(id string, key uint64, warmUp time.Duration) *standin.Target {
 	s.t.Helper()
 	tg, err := standin.NewTarget(standin.TargetConfig{
 		ID: id, Service: "booking", Zone: "a", Key: key, PacketPort: s.packetPort, Listen: netip.MustParseAddrPort("127.0.0.1:0"),
+		WarmUp: warmUp,
 	})
 	must.NoError(s.t, err)
 	s.t.Cleanup(tg.Close)
@@ -134,7 +142,7 @@
 	at := func() netip.AddrPort { return netip.AddrPortFrom(ip, freePort(s.t)) }
 	set := &edge.Settings{
 		Name: fmt.Sprintf("instance-%d", n), Zone: "a", Packet: netip.AddrPortFrom(ip, s.packetPort),
-		Ready: at(), Peer: at(), Admin: at(), Store: store, Seeds: seeds, MemoryMB: 128, Workers: 1, Deployment: edge.DefaultDeployment(),
+		Ready: at(), Peer: at(), Admin: at(), Store: store, Seeds: seeds, MemoryMB: 128, Workers: 1, Deployment: s.deployment,
 	}
 	log := &lockedBuffer{}
 	logger, err := logfield.New(log, "info", logfield.JSON)
