--- a/internal/cli/instances.go
+++ b/internal/cli/instances.go
@@ -57,10 +57,15 @@
 		lines = append(lines, fmt.Sprintf("  %s: version %d in epoch %d of the store, %d ms old", k.Kind, k.Version, k.Epoch, k.AgeMillis))
 	}
 	for _, tg := range s.Targets {
-		if targets {
-			lines = append(lines, fmt.Sprintf("  %s of %s in %s: %s, %d flows, %d requests in flight, %d ms",
-				tg.Target, tg.Service, tg.Zone, tg.State, tg.Open, tg.Busy, tg.LatencyMillis))
+		if !targets {
+			continue
+		}
+		line := fmt.Sprintf("  %s of %s in %s: %s, %d flows, %d requests in flight, %d ms",
+			tg.Target, tg.Service, tg.Zone, tg.State, tg.Open, tg.Busy, tg.LatencyMillis)
+		if a := tg.Allowance; a != nil {
+			line += fmt.Sprintf(", cold: %d of %d flows a second used", a.Used, a.Share)
 		}
+		lines = append(lines, line)
 	}
 	return lines
 }
