--- a/internal/edge/telemetry.go
+++ b/internal/edge/telemetry.go
@@ -115,6 +115,7 @@
 	// overload counts the new flows of full services.
 	overload     map[overloadOutcome]metrics.Counter
 	fullServices metrics.GaugeFloat64
+	cold         coldCounters
 }
 
 type outcome struct {
@@ -130,6 +131,7 @@
 		times:     map[forwarding.Span]*metric.LatencyHistogram{},
 		configAge: s.Histogram(metric.EdgeUsedViewAge, "config"),
 		targetAge: s.Histogram(metric.EdgeUsedViewAge, "targets"),
+		cold:      newColdCounters(s),
 	}
 	c.overload, c.fullServices = map[overloadOutcome]metrics.Counter{}, s.Gauge(metric.EdgeFullServices, "")
 	for _, span := range []forwarding.Span{forwarding.Opening, forwarding.FirstData, forwarding.FirstAnswer, forwarding.Answer} {
@@ -148,6 +150,7 @@
 		c.outcomes[o] = counter
 	}
 	counter.Inc(1)
+	c.cold.count(&d)
 }
 
 // observer writes the forwarder's events to the log and the metrics.
--- a/internal/explain/edge.go
+++ b/internal/explain/edge.go
@@ -45,4 +45,14 @@
 	// Pace is the fraction of a fair share of new flows that the instance gives to the target;
 	// 0 if the target is not paced.
 	Pace float64 `json:"pace,omitempty"`
+	// Allowance is missing if the target is warm or its service has no rate for cold targets.
+	Allowance *AllowanceStatus `json:"allowance,omitempty"`
+}
+
+// AllowanceStatus is what an instance may give a cold target.
+type AllowanceStatus struct {
+	// Share is how many flows the instance may give the target in any sliding second; 0 for
+	// targets of other data centres. Used is how many the last second had.
+	Share int `json:"share"`
+	Used  int `json:"used"`
 }
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -250,6 +250,7 @@
 		// The target's answer may be in transit, and a second target must not answer too.
 		if !f.ended(now, state.load.target) {
 			state.lastSeenAt = now
+			f.useAllowance(now, state.load) // the original may have been lost
 			return f.forwardTo(state.load, r, Repeated, 0)
 		}
 	}
@@ -313,6 +314,7 @@
 		if f.limits.Pace {
 			f.prepareZone(now, f.services[share.Service])
 		}
+		p.coldRate = f.View.Config().ColdRates[share.Service]
 		c := f.chooser.choose(now, f.View, f.services[share.Service], p)
 		excluded.add(c.excluded)
 		f.recordAdmission(now, s, share.Service, &p, &c)
@@ -329,8 +331,9 @@
 		f.placements++
 		c.load.lastPlacement = f.placements
 		f.pacePlaced(now, c.load)
+		f.useAllowance(now, c.load)
 		d := f.forwardTo(c.load, r, reason, c.candidates)
-		d.LocalEvacuated = c.excluded.localEvacuated
+		d.LocalEvacuated, d.HeldBack = c.excluded.localEvacuated, c.excluded.localCold
 		return d
 	}
 	return f.noTarget(now, r, s.Ack > 0, excluded)
@@ -500,6 +503,7 @@
 		return
 	}
 	if !state.busy {
+		f.useForRequest(now, state)
 		state.requestSeq = s.Seq
 		state.setBusy(true)
 	}
--- a/internal/forwarding/load.go
+++ b/internal/forwarding/load.go
@@ -66,6 +66,7 @@
 	failureShareAt time.Duration
 	// pace is the pace of a target of the own data centre, if targets are paced.
 	pace targetPace
+	cold *coldTarget // nil if the target was not found cold
 }
 
 // newTargetLoad returns the load of a target without observations. The tie-break is random:
--- a/internal/metric/names.go
+++ b/internal/metric/names.go
@@ -54,5 +54,6 @@
 	EdgeEvacuations   = Declaration{"guavaloom_edge_evacuations", "data centres", "Evacuated data centres known to the instance.", Gauge, ""}
 	EdgeOverload      = Declaration{"guavaloom_edge_overload_total", "flows", "New flows of full services, by outcome (admitted, elsewhere or rejected), priority and kind of the route.", Counter, "class"}
 	EdgeFullServices  = Declaration{"guavaloom_edge_full_services", "services", "Services whose targets in the own data centre are full.", Gauge, ""}
+	EdgeColdFlows     = Declaration{"guavaloom_edge_cold_flows_total", "flows", "Flows affected by the allowance of cold targets: held_back from a cold target and placed elsewhere, or refused.", Counter, "outcome"}
 	EdgeUnreadable    = Declaration{"guavaloom_edge_unreadable_total", "entries", "Entries of the store that could not be read, by kind.", Counter, "kind"}
 )
