overload: uploads leave room on an instance's own link

Change: while more than 0.75 of the link's rate is in use or promised to admitted uploads, first packets of uploads are rejected (reason link_full). On with [balancing] overload and [limits] link_mbps.

--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -35,6 +35,8 @@
 const (
 	// tickInterval is how often expired flows are removed and ended targets are detected.
 	tickInterval = 500 * time.Millisecond
+	// bytesPerMbit is the number of bytes in a megabit.
+	bytesPerMbit = 125_000
 	// memoryFraction is the part of the process's memory limit that the Go runtime may use.
 	memoryFraction = 0.7
 	// logFlushTimeout bounds the time to write the last log lines when the process ends.
@@ -143,6 +145,7 @@
 	i.counters = newCounters(i.metrics)
 	i.timing.Forwarding.DetectRefusals = s.Pace || s.Overload
 	i.timing.Forwarding.Overload = s.Overload
+	i.timing.Forwarding.LinkRate = s.LinkMbps * bytesPerMbit
 	i.timing.Forwarding.Pace = s.Pace
 	i.forward = forwarding.New(s.Zone, i.timing.Forwarding, view.New(i.timing.View), observer{i})
 	i.forward.View.SetRegions(s.Regions)
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -27,6 +27,8 @@
 	Seeds []netip.AddrPort
 	// MemoryMB is the limit of the process in MB.
 	MemoryMB uint64
+	// LinkMbps is the rate of the instance's network link in Mbit/s; 0 if not given.
+	LinkMbps float64
 	// Workers is the number of packet workers.
 	Workers uint64
 	// FirstStart means that all instances start together for the first time, a few
@@ -94,6 +96,7 @@
 		"peers": {{Key: "seeds", Set: addresses(&s.Seeds)}},
 		"limits": {
 			{Key: "memory_mb", Set: inifile.Number(&s.MemoryMB)},
+			{Key: "link_mbps", Set: inRange(0.0, 1e6, func(n float64) { s.LinkMbps = n })},
 			{Key: "workers", Set: workers(&s.Workers)},
 		},
 	}
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -33,6 +33,8 @@
 	DetectRefusals bool
 	// Overload enables admission by class while a service's targets are full.
 	Overload bool
+	// LinkRate is the rate of the instance's network link in bytes a second; 0 if it is unknown.
+	LinkRate float64
 	// Pace enables the pacing of local targets.
 	Pace bool
 }
@@ -199,6 +201,7 @@
 // Handle decides on a packet that arrived at the given time.
 func (f *Forwarder) Handle(now time.Duration, s *Segment) Decision {
 	f.detectStall(now)
+	f.useLink(now, s)
 	if !f.View.Complete() {
 		return Decision{Verdict: Hold, Reason: NotReady}
 	}
@@ -308,6 +311,9 @@
 	first := pickShare(r.Shares, s.Flow.Hash())
 	p := flowParams{route: r, exclude: exclude, maxLatency: latencyLimit(r, s.Ack > 0)}
 	p.flow, p.byClass = f.overloadParams(now, s, r)
+	if f.linkFull(now, s, r) {
+		return Decision{Verdict: Reset, Reason: LinkFull, Route: r}
+	}
 	var excluded exclusions
 	for n := range r.Shares {
 		share := r.Shares[(first+n)%len(r.Shares)]
--- a/internal/forwarding/overload.go
+++ b/internal/forwarding/overload.go
@@ -24,6 +24,7 @@
 // overloadState is the state for all services; nil while admission by class is off.
 type overloadState struct {
 	clients  overload.Clients
+	link     overload.Link
 	observer OverloadObserver // nil if overload is not reported
 }
 
@@ -31,7 +32,7 @@
 	if !l.Overload {
 		return nil
 	}
-	s := &overloadState{}
+	s := &overloadState{link: overload.Link{Rate: l.LinkRate}}
 	s.observer, _ = o.(OverloadObserver)
 	return s
 }
@@ -50,6 +51,23 @@
 	}, true
 }
 
+// packetOverhead is the size of a packet's headers in bytes: that of the packet, the target's
+// key, IP and UDP.
+const packetOverhead = 36 + 8 + 28
+
+// useLink records that a packet passes the instance's link.
+func (f *Forwarder) useLink(now time.Duration, s *Segment) {
+	if f.overload != nil {
+		f.overload.link.Use(now, packetOverhead, len(s.Data))
+	}
+}
+
+// linkFull reports whether a new flow must be rejected because the instance's link has no room
+// for it. A retransmitted first packet is not rejected: its original may have opened the flow.
+func (f *Forwarder) linkFull(now time.Duration, s *Segment, r *view.Route) bool {
+	return f.overload != nil && s.Ack == 0 && !f.overload.link.Admit(now, r.Kind)
+}
+
 // arrive records a new flow and returns the latency above which targets are late for it.
 func (s *serviceTargets) arrive(now time.Duration, p *flowParams) time.Duration {
 	s.admission.Arrive(now, p.flow)
--- a/internal/forwarding/segment.go
+++ b/internal/forwarding/segment.go
@@ -104,6 +104,8 @@
 	Cold Reason = "cold"
 	// Overloaded: most targets of the service answer too late for the route.
 	Overloaded Reason = "overloaded"
+	// LinkFull: the instance's own link has no room for the upload.
+	LinkFull Reason = "link_full"
 	// NotReady: the configuration or the targets have not been received yet.
 	NotReady Reason = "not_ready"
 	// TargetEnded: the flow's target has ended.
--- a/internal/overload/window.go
+++ b/internal/overload/window.go
@@ -26,9 +26,11 @@
 	}
 }
 
-func (w *window) add(now time.Duration) {
+func (w *window) add(now time.Duration) { w.addN(now, 1) }
+
+func (w *window) addN(now time.Duration, n uint32) {
 	w.advance(now)
-	w.counts[w.last%buckets]++
+	w.counts[w.last%buckets] += n
 }
 
 // sum returns the events in the newest n buckets. The newest one is incomplete: n buckets
