targetreport: merged results say how long they hold

Cause: a placement looks only at the stored result, and a result that ends with the first report would lapse between two merges although enough other reports remain. Change: silence and latency hold until fewer than the needed reports are left; the number of sources is returned for the status.

--- a/internal/targetreport/merge.go
+++ b/internal/targetreport/merge.go
@@ -43,12 +43,14 @@
 
 // Merged is the result of all reports about a target that count.
 type Merged struct {
-	// Silent means that enough instances report the target silent.
-	Silent bool
-	// Latency is the relative latency in percent; 0 if unknown.
-	Latency int
-	// Until is when the first of the reports used expires; 0 if there is no result.
-	Until time.Duration
+	// SilentUntil is how long enough of the present reports say that the target is silent; 0 if
+	// they do not.
+	SilentUntil time.Duration
+	// Latency is the relative latency in percent, valid until LatencyUntil; 0 if unknown.
+	Latency      int
+	LatencyUntil time.Duration
+	// Sources is the number of instances with a report that counts.
+	Sources int
 }
 
 // NewMerger returns a merger without reports.
@@ -126,36 +128,39 @@
 // Merge returns the result for a target's present incarnation. ownSilent means that this instance
 // observes the target as silent too; it counts as one of the instances.
 func (m *Merger) Merge(now time.Duration, token uint32, incarnation Incarnation, ownSilent bool) (out Merged) {
-	var latencies []claim
-	var silent, answering int
-	if ownSilent {
-		silent++
-	}
+	var silent, answering []claim
 	for _, c := range m.targets[token] {
 		if now >= c.at+Lifetime || c.entry.Incarnation != incarnation {
 			continue
 		}
-		if expires := c.at + Lifetime; out.Until == 0 || expires < out.Until {
-			out.Until = expires
-		}
+		out.Sources++
 		switch {
 		case c.entry.Silence > 0:
-			silent++
+			silent = append(silent, c)
 		case c.entry.Answers > 0 && c.entry.Latency > 0:
-			answering++
-			latencies = append(latencies, c)
+			answering = append(answering, c)
 		}
 	}
-	out.Silent = silent >= minSources && silent > answering
-	if len(latencies) >= minSources {
-		out.Latency = weightedMedian(latencies)
+	needed := max(minSources, len(answering)+1)
+	if ownSilent {
+		needed--
 	}
-	if !out.Silent && out.Latency == 0 {
-		return Merged{}
+	out.SilentUntil = validUntil(silent, needed)
+	if out.LatencyUntil = validUntil(answering, minSources); out.LatencyUntil > 0 {
+		out.Latency = weightedMedian(answering)
 	}
 	return out
 }
 
+// validUntil returns when fewer than the needed claims will be left; 0 if that is so already.
+func validUntil(claims []claim, needed int) time.Duration {
+	if len(claims) < needed {
+		return 0
+	}
+	slices.SortFunc(claims, func(a, b claim) int { return cmp.Compare(b.at, a.at) })
+	return claims[needed-1].at + Lifetime
+}
+
 // weightedMedian returns the lower median of the latencies, weighted by the number of answers. The
 // weight of each source is at most the sum of all others, so that the result is never above the
 // second-highest latency: one source alone cannot raise it.
--- a/internal/targetreport/merge_test.go
+++ b/internal/targetreport/merge_test.go
@@ -42,18 +42,18 @@
 		{name: "this one alone", ownSilent: true},
 		{name: "one source", claims: []claimed{{1, 0, silent()}}},
 		{name: "one source twice", claims: []claimed{{1, 0, silent()}, {1, 1, silent()}}},
-		{name: "two sources", claims: []claimed{{1, 0, silent()}, {2, 1, silent()}}, want: Merged{Silent: true, Until: Lifetime}},
-		{name: "one source and this one", claims: []claimed{{1, 0, silent()}}, ownSilent: true, want: Merged{Silent: true, Until: Lifetime}},
-		{name: "two sources, just before the first expires", claims: []claimed{{1, 0, silent()}, {2, time.Second, silent()}}, now: Lifetime - 1, want: Merged{Silent: true, Until: Lifetime}},
+		{name: "two sources", claims: []claimed{{1, 0, silent()}, {2, 1, silent()}}, want: Merged{SilentUntil: Lifetime}},
+		{name: "one source and this one", claims: []claimed{{1, 0, silent()}}, ownSilent: true, want: Merged{SilentUntil: Lifetime}},
+		{name: "two sources, just before the first expires", claims: []claimed{{1, 0, silent()}, {2, time.Second, silent()}}, now: Lifetime - 1, want: Merged{SilentUntil: Lifetime}},
 		{name: "two sources, the first expired", claims: []claimed{{1, 0, silent()}, {2, time.Second, silent()}}, now: Lifetime},
-		{name: "cut off source, later again", claims: []claimed{{1, 0, silent()}, {2, 2 * time.Second, silent()}, {1, Lifetime, silent()}}, now: Lifetime, want: Merged{Silent: true, Until: 2*time.Second + Lifetime}},
+		{name: "cut off source, later again", claims: []claimed{{1, 0, silent()}, {2, 2 * time.Second, silent()}, {1, Lifetime, silent()}}, now: Lifetime, want: Merged{SilentUntil: 2*time.Second + Lifetime}},
 		{name: "two sources, one about an earlier run", claims: []claimed{{1, 0, silent()}, {2, 0, earlier}}},
-		{name: "two cut off sources, two that see answers", claims: []claimed{{1, 0, silent()}, {2, 0, silent()}, {3, 0, slow(200, 5)}, {4, 0, slow(160, 5)}}, want: Merged{Latency: 160, Until: Lifetime}},
-		{name: "three silent, one that sees answers", claims: []claimed{{1, 0, silent()}, {2, 0, silent()}, {3, 0, silent()}, {4, 0, slow(160, 5)}}, want: Merged{Silent: true, Until: Lifetime}},
+		{name: "two cut off sources, two that see answers", claims: []claimed{{1, 0, silent()}, {2, 0, silent()}, {3, 0, slow(200, 5)}, {4, 0, slow(160, 5)}}, want: Merged{Latency: 160, LatencyUntil: Lifetime}},
+		{name: "three silent, one that sees answers", claims: []claimed{{1, 0, silent()}, {2, 0, silent()}, {3, 0, silent()}, {4, 0, slow(160, 5)}}, want: Merged{SilentUntil: Lifetime}},
 		{name: "slow, one source", claims: []claimed{{1, 0, slow(900, 255)}}},
-		{name: "slow, a lying source and an honest one", claims: []claimed{{1, 0, slow(2550, 255)}, {2, 0, slow(160, 2)}}, want: Merged{Latency: 160, Until: Lifetime}},
-		{name: "slow, a lying source and two honest ones", claims: []claimed{{1, 0, slow(2550, 255)}, {2, 0, slow(160, 2)}, {3, 0, slow(200, 3)}}, want: Merged{Latency: 200, Until: Lifetime}},
-		{name: "slow, weighted by answers", claims: []claimed{{1, 0, slow(160, 1)}, {2, 0, slow(200, 1)}, {3, 0, slow(400, 20)}, {4, 0, slow(420, 20)}}, want: Merged{Latency: 400, Until: Lifetime}},
+		{name: "slow, a lying source and an honest one", claims: []claimed{{1, 0, slow(2550, 255)}, {2, 0, slow(160, 2)}}, want: Merged{Latency: 160, LatencyUntil: Lifetime}},
+		{name: "slow, a lying source and two honest ones", claims: []claimed{{1, 0, slow(2550, 255)}, {2, 0, slow(160, 2)}, {3, 0, slow(200, 3)}}, want: Merged{Latency: 200, LatencyUntil: Lifetime}},
+		{name: "slow, weighted by answers", claims: []claimed{{1, 0, slow(160, 1)}, {2, 0, slow(200, 1)}, {3, 0, slow(400, 20)}, {4, 0, slow(420, 20)}}, want: Merged{Latency: 400, LatencyUntil: Lifetime}},
 		{name: "no answers, no latency", claims: []claimed{{1, 0, slow(400, 0)}, {2, 0, slow(400, 0)}}},
 	} {
 		m := NewMerger()
@@ -63,7 +63,9 @@
 			sequences[d.source]++
 			must.True(t, m.Add(d.at, from[d.source], &Report{Sequence: sequences[d.source], Entries: []Entry{d.entry}}), must.Sprint(c.name))
 		}
-		must.Eq(t, c.want, m.Merge(c.now, token, run, c.ownSilent), must.Sprint(c.name))
+		got := m.Merge(c.now, token, run, c.ownSilent)
+		got.Sources = 0
+		must.Eq(t, c.want, got, must.Sprint(c.name))
 	}
 }
 
@@ -150,10 +152,10 @@
 			reached := 0
 			for n, a := range all {
 				m := mergers[a]
-				if m.Merge(now, token, run, n < c.observers).Silent {
+				if m.Merge(now, token, run, n < c.observers).SilentUntil > 0 {
 					reached++
 				}
-				must.False(t, m.Merge(now, token+1, run, false).Silent)
+				must.Eq(t, 0, m.Merge(now, token+1, run, false).SilentUntil)
 			}
 			t.Logf("%d of %d instances reached with %d datagrams", reached, c.instances, datagrams)
 			must.GreaterEq(t, c.atLeast, reached)
