forwarding: observations for reports, and the effect of reports on the choice

Cause: each instance sees 1/n of the answers, and one that has just started knows nothing of silent or slow targets. Change: reports.go derives entries from the load (latency relative to the median of the service's local targets, answers of the last 3 s, silence) and applies merged reports: a target reported silent is avoided with trial flows after 1, 2 and 4 s, a relative latency above 150 % multiplies the utilization. Hooks in load.go, placement.go and forwarder.go do nothing unless EnableReports was called; a target then has no state of reports at all.

--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -5,6 +5,7 @@
 
 	"guavaloom.example/guavaloom/internal/service"
 	"guavaloom.example/guavaloom/internal/target"
+	"guavaloom.example/guavaloom/internal/targetreport"
 	"guavaloom.example/guavaloom/internal/view"
 )
 
@@ -91,6 +92,8 @@
 	observer      Observer
 	unknownTokens map[uint32]time.Duration // first seen, by token
 	placements    uint64
+	// reports holds the reports of other instances; nil without reports.
+	reports *targetreport.Merger
 	// lastActivityAt is the time of the last packet or tick. stallEndedAt is the end of the
 	// last stall: packets sent before it that went unanswered say nothing about their
 	// target.
@@ -132,6 +135,9 @@
 	l := f.loads[t.ID]
 	if l == nil {
 		l = newTargetLoad()
+		if f.reports != nil {
+			l.reported = &reportedState{}
+		}
 		f.loads[t.ID] = l
 	}
 	listed := l.target != nil
@@ -302,6 +308,7 @@
 		}
 		f.placements++
 		c.load.lastPlacement = f.placements
+		c.load.reported.recordPlacement(now)
 		d := f.forwardTo(c.load, r, reason, c.candidates)
 		d.LocalEvacuated = c.excluded.localEvacuated
 		return d
--- a/internal/forwarding/load.go
+++ b/internal/forwarding/load.go
@@ -62,6 +62,8 @@
 	// failureShare is the share of unanswered requests at failureShareAt.
 	failureShare   float64
 	failureShareAt time.Duration
+	// reported is what is exchanged with other instances about the target; nil without reports.
+	reported *reportedState
 }
 
 // newTargetLoad returns the load of a target without observations. The tie-break is random:
@@ -95,6 +97,7 @@
 func (l *targetLoad) setTarget(t *view.Target) {
 	if l.target != nil && l.incarnation != t.Incarnation {
 		l.silent, l.backoff, l.backoffUntil, l.latency, l.lastResponseAt, l.failureShare = false, 0, 0, 0, 0, 0
+		l.reported.reset()
 	}
 	l.target, l.service, l.zone, l.incarnation = t, t.Service, t.Zone, t.Incarnation
 }
@@ -124,15 +127,19 @@
 	return suspected
 }
 
-// avoided reports whether the target should get no new flow now: it is silent, and either
-// its backoff has not expired or a retry is in progress.
+// avoided reports whether the target should get no new flow now: it is silent, as observed here
+// or by other instances, and either the backoff has not expired or a retry is in progress.
 func (l *targetLoad) avoided(now time.Duration) bool {
-	return l.silent && (now < l.backoffUntil || l.opening > 0)
+	if !l.silent {
+		return l.reported != nil && l.avoidedByReports(now)
+	}
+	return now < l.backoffUntil || l.opening > 0
 }
 
 // recordLatency adds the latency of a request to the moving average.
 func (l *targetLoad) recordLatency(now, latency time.Duration) {
 	l.latencyAt = now
+	l.reported.addAnswer(now)
 	if l.latency == 0 {
 		l.latency = latency
 		return
--- a/internal/forwarding/placement.go
+++ b/internal/forwarding/placement.go
@@ -161,6 +161,9 @@
 // is false for targets that are chosen only if no other is left.
 func (c *chooser) assess(now time.Duration, l *targetLoad, instances int, p flowParams) (o candidate, reliable bool) {
 	o = candidate{load: l, utilization: l.utilization(now, instances)}
+	if l.reported != nil {
+		o.utilization *= l.slowness(now)
+	}
 	reliable = !l.avoided(now) && !l.target.Removed
 	if !reliable {
 		o.utilization += suspectPenalty
--- /dev/null
+++ b/internal/forwarding/reports_test.go
@@ -0,0 +1,316 @@
+package forwarding
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"guavaloom.example/guavaloom/internal/target"
+	"guavaloom.example/guavaloom/internal/targetreport"
+)
+
+const reportInterval = 300 * ms
+
+// reportingZone is a data centre of instances that exchange reports.
+type reportingZone struct {
+	t         *testing.T
+	instances []*fixture
+	sequence  uint32
+}
+
+func newReportingZone(t *testing.T, instances int, targets ...target.ID) *reportingZone {
+	z := &reportingZone{t: t}
+	for range instances {
+		z.start(0, targets...)
+	}
+	return z
+}
+
+// start adds an instance without observations.
+func (z *reportingZone) start(now time.Duration, targets ...target.ID) *fixture {
+	b := newFixture()
+	b.EnableReports()
+	for _, id := range targets {
+		b.put(now, b.entry(id, "booking", "a"))
+	}
+	z.instances = append(z.instances, b)
+	return b
+}
+
+// exchange lets all instances report to all others once. With up to five instances, these are the
+// receivers of each report.
+func (z *reportingZone) exchange(now time.Duration) {
+	z.sequence++
+	for n, from := range z.instances {
+		entries := targetreport.Select(from.Observations(now), rand.New(rand.NewPCG(1, uint64(n))))
+		if len(entries) == 0 {
+			continue
+		}
+		data, err := (&targetreport.Report{Sequence: z.sequence, Entries: entries}).Encode()
+		must.NoError(z.t, err)
+		for _, to := range z.instances {
+			if to == from {
+				continue
+			}
+			r, err := targetreport.Decode(data)
+			must.NoError(z.t, err)
+			must.True(z.t, to.AddReport(now, netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), r))
+		}
+	}
+}
+
+// findSilent lets an instance observe that a target does not respond.
+func (b *fixture) findSilent(now time.Duration, id target.ID) {
+	b.recordRetransmission(now, b.loads[id], now-minRetransmitInterval)
+}
+
+// Load pattern: a target fails without notice; two instances notice, a third one has just started.
+// Guards against flows that the third one places there, against a report that takes longer
+// than a second, and against a target that is never tried again.
+func TestNewInstanceAvoidsReportedTarget(t *testing.T) {
+	z := newReportingZone(t, 2, "i-dead", "i-live")
+	began := 10 * time.Second
+	for _, b := range z.instances {
+		b.findSilent(began, "i-dead")
+	}
+	third := z.start(began, "i-dead", "i-live")
+	now := began
+	for ; !third.loads["i-dead"].avoided(now); now += reportInterval {
+		z.exchange(now)
+		must.LessEq(t, time.Second, now-began)
+	}
+	learned := now
+	for n := 0; now < learned+minBackoff-reportInterval; now += 50 * ms {
+		must.Eq(t, "i-live", third.syn(now, flowTo(bookingAddr, n), 0).Target.ID)
+		n++
+	}
+	must.True(t, third.Reported(now, "i-dead").Silent)
+
+	// One flow is the trial, the next ones wait for its result.
+	for ; third.loads["i-dead"].avoided(now); now += reportInterval {
+		must.LessEq(t, learned+2*minBackoff, now)
+		z.exchange(now)
+	}
+	trial := third.syn(now, flowTo(bookingAddr, 1000), 0)
+	must.Eq(t, "i-dead", trial.Target.ID)
+	must.Eq(t, "i-live", third.syn(now, flowTo(bookingAddr, 1001), 0).Target.ID)
+
+	// An answer seen here prevails over the reports.
+	third.accept(now+10*ms, flowTo(bookingAddr, 1000), trial)
+	must.False(t, third.loads["i-dead"].avoided(now+10*ms))
+}
+
+// Guards against one instance, wrong or cut off, that makes others avoid a target or rank it
+// lower, and against reports that count for longer than 3 s.
+func TestOneReporterIsNotEnough(t *testing.T) {
+	z := newReportingZone(t, 3, "i-1", "i-2", "i-3")
+	one, two, third := z.instances[0], z.instances[1], z.instances[2]
+	one.findSilent(10*time.Second, "i-1")
+	z.exchange(10 * time.Second)
+	must.Eq(t, Reported{Sources: 1}, third.Reported(10*time.Second, "i-1"))
+	must.False(t, third.loads["i-1"].avoided(10*time.Second))
+
+	two.findSilent(11*time.Second, "i-1")
+	z.exchange(11 * time.Second)
+	must.True(t, third.loads["i-1"].avoided(11*time.Second))
+	// Both others are cut off from now on.
+	third.Observations(14*time.Second - 1)
+	must.True(t, third.Reported(14*time.Second-1, "i-1").Silent)
+	must.False(t, third.loads["i-1"].avoided(14*time.Second))
+	must.False(t, third.Reported(14*time.Second, "i-1").Silent)
+}
+
+// Guards against a target that is avoided after its restart for what was reported of its earlier
+// run, in reports that arrived before the restart or after it.
+func TestRestartedTargetIsNotAvoided(t *testing.T) {
+	z := newReportingZone(t, 3, "i-1", "i-2")
+	now := 10 * time.Second
+	for _, b := range z.instances[:2] {
+		b.findSilent(now, "i-1")
+	}
+	z.exchange(now)
+	third := z.instances[2]
+	must.True(t, third.loads["i-1"].avoided(now))
+	e := third.entry("i-1", "booking", "a")
+	e.Incarnation = 1
+	third.put(now, e)
+	must.False(t, third.loads["i-1"].avoided(now))
+	z.exchange(now + reportInterval)
+	must.False(t, third.loads["i-1"].avoided(now+reportInterval))
+}
+
+// answer lets a target answer a request on a flow of its own.
+func (b *fixture) answer(now time.Duration, id target.ID, latency time.Duration) {
+	l := b.loads[id]
+	l.recordResponse(now)
+	l.recordLatency(now, latency)
+	l.recordOutcome(now, true)
+}
+
+// Guards against slow targets that an instance without own answers ranks like others, and
+// against an effect on targets that are only a little slower.
+func TestReportedLatencyRaisesUtilization(t *testing.T) {
+	z := newReportingZone(t, 3, "i-slow", "i-1", "i-2", "i-3")
+	now := 10 * time.Second
+	for _, b := range z.instances[:2] {
+		b.answer(now, "i-slow", 300*ms)
+		b.answer(now, "i-1", 100*ms)
+		b.answer(now, "i-2", 100*ms)
+		b.answer(now, "i-3", 140*ms)
+	}
+	z.exchange(now)
+	third := z.instances[2]
+	third.Observations(now)
+	slow := third.loads["i-slow"]
+	must.Eq(t, 250, third.Reported(now, "i-slow").Latency) // the median is 120 ms
+	must.Eq(t, 2.5, slow.slowness(now))
+	must.Eq(t, 1.0, third.loads["i-3"].slowness(now))
+	must.Eq(t, 1.0, slow.slowness(now+targetreport.Lifetime))
+
+	slow.opening, third.loads["i-1"].opening, third.loads["i-2"].opening, third.loads["i-3"].opening = 1, 2, 3, 3
+	must.Eq(t, "i-1", third.syn(now, flowTo(bookingAddr, 1), 0).Target.ID)
+
+	// An own latency that is fresh prevails.
+	slow.opening = 0
+	for _, id := range []target.ID{"i-slow", "i-1"} {
+		third.answer(now, id, 100*ms)
+	}
+	third.Observations(now)
+	must.Eq(t, 1.0, slow.slowness(now))
+	must.Eq(t, 2.5, slow.slowness(now+freshObservation))
+}
+
+// Guards against reports of usual targets, of latencies across data centres, of observations
+// without recent evidence, and against failing targets that are not reported.
+func TestObservations(t *testing.T) {
+	newInstance := func() *fixture {
+		b := newFixture()
+		b.EnableReports()
+		for _, id := range []target.ID{"i-1", "i-2", "i-3"} {
+			b.put(0, b.entry(id, "booking", "a"))
+			b.answer(10*time.Second, id, 100*ms)
+		}
+		b.put(0, b.entry("i-far", "booking", "b"))
+		return b
+	}
+	now := 10 * time.Second
+	observed := func(b *fixture, at time.Duration, id target.ID) (e targetreport.Entry) {
+		for _, o := range b.Observations(at) {
+			if o.Token == b.View.Target(id).Token {
+				return o
+			}
+		}
+		return e
+	}
+	b := newInstance()
+	must.SliceEmpty(t, b.Observations(now))
+
+	b.loads["i-1"].latency = 151 * ms
+	must.Eq(t, 151, observed(b, now, "i-1").Latency)
+	must.Eq(t, 1, observed(b, now, "i-1").Answers)
+	must.SliceEmpty(t, b.Observations(now+3*time.Second), must.Sprint("no answer in the last 3 s"))
+
+	b = newInstance()
+	b.answer(now, "i-far", time.Second)
+	must.SliceEmpty(t, b.Observations(now), must.Sprint("latency across data centres"))
+
+	b = newInstance()
+	b.findSilent(now+2*time.Second, "i-far")
+	b.findSilent(now+2*time.Second, "i-1")
+	must.Positive(t, observed(b, now+2*time.Second, "i-far").Silence)
+	must.Eq(t, 2*time.Second, observed(b, now+2*time.Second, "i-1").Silence)
+	must.SliceEmpty(t, b.Observations(now+2*time.Second+minBackoff+silenceReportGrace), must.Sprint("without a retry"))
+	b.findSilent(now+3100*ms, "i-1")
+	draining := b.entry("i-1", "booking", "a")
+	draining.Draining = true
+	b.put(now, draining)
+	must.SliceEmpty(t, b.Observations(now + 3100*ms)[1:], must.Sprint("a draining target"))
+
+	b = newInstance()
+	for range 2 {
+		b.loads["i-1"].recordOutcome(now+time.Second, false)
+	}
+	must.SliceEmpty(t, b.Observations(now+time.Second), must.Sprint("answered within responseTimeout"))
+	must.Eq(t, responseTimeout, observed(b, now+responseTimeout, "i-1").Silence)
+}
+
+// Guards against answers that are counted for too long or lost when seconds are skipped.
+func TestAnswerWindow(t *testing.T) {
+	for _, c := range []struct {
+		at   []time.Duration
+		now  time.Duration
+		want int
+	}{
+		{nil, 0, 0},
+		{[]time.Duration{0, 0, 999 * ms}, 999 * ms, 3},
+		{[]time.Duration{0, time.Second, 2 * time.Second}, 2999 * ms, 3},
+		{[]time.Duration{0, time.Second, 2 * time.Second}, 3000 * ms, 2},
+		{[]time.Duration{0, time.Second, 2 * time.Second}, time.Hour, 0},
+		{[]time.Duration{0, time.Hour}, time.Hour, 1},
+		{[]time.Duration{5 * time.Second, 7 * time.Second}, 7 * time.Second, 2},
+	} {
+		var w answerWindow
+		for _, at := range c.at {
+			w.add(at)
+		}
+		must.Eq(t, c.want, w.count(c.now), must.Sprint(c))
+	}
+}
+
+// Guards against a change of the choice while reports are off: no state of reports must exist then.
+func TestNoEffectWithoutReports(t *testing.T) {
+	b := newFixture()
+	for n := range 4 {
+		id := target.ID(fmt.Sprintf("i-%d", n))
+		b.put(0, b.entry(id, "booking", "a"))
+		b.answer(time.Second, id, time.Duration(1+10*n)*ms)
+		must.Nil(t, b.loads[id].reported)
+		must.False(t, b.loads[id].avoided(time.Second))
+		must.Eq(t, Reported{}, b.Reported(time.Second, id))
+	}
+}
+
+// newLargeReporting returns an instance with 3,000 local targets, of which 300 are slow.
+func newLargeReporting() *fixture {
+	b := newFixture()
+	b.EnableReports()
+	for n := range 3000 {
+		id := target.ID(fmt.Sprintf("i-%d", n))
+		b.put(0, b.entry(id, "booking", "a"))
+		latency := 100 * ms
+		if n%10 == 0 {
+			latency = 300 * ms
+		}
+		b.answer(time.Second, id, latency)
+	}
+	return b
+}
+
+func BenchmarkObservations(b *testing.B) {
+	f := newLargeReporting()
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		f.Observations(time.Second)
+	}
+}
+
+// Guards against allocations for reports in the packet path.
+func TestReportsAllocateNothingInThePacketPath(t *testing.T) {
+	f := newLargeReporting()
+	f.Observations(time.Second)
+	l := f.loads["i-0"]
+	sum := 0.0
+	must.Eq(t, 0.0, testing.AllocsPerRun(100, func() {
+		if !l.avoided(time.Second) {
+			sum += l.slowness(time.Second)
+		}
+		l.reported.addAnswer(time.Second)
+		l.reported.recordPlacement(time.Second)
+	}))
+	must.Positive(t, sum)
+}
