--- a/internal/cli/instances.go
+++ b/internal/cli/instances.go
@@ -58,9 +58,24 @@
 	}
 	for _, tg := range s.Targets {
 		if targets {
-			lines = append(lines, fmt.Sprintf("  %s of %s in %s: %s, %d flows, %d requests in flight, %d ms",
-				tg.Target, tg.Service, tg.Zone, tg.State, tg.Open, tg.Busy, tg.LatencyMillis))
+			lines = append(lines, fmt.Sprintf("  %s of %s in %s: %s, %d flows, %d requests in flight, %d ms%s",
+				tg.Target, tg.Service, tg.Zone, tg.State, tg.Open, tg.Busy, tg.LatencyMillis, reportedText(tg)))
 		}
 	}
 	return lines
 }
+
+// reportedText returns what other instances report of a target, or "".
+func reportedText(tg explain.TargetStatus) string {
+	if tg.ReportedBy == 0 {
+		return ""
+	}
+	text := fmt.Sprintf(", reported by %d", tg.ReportedBy)
+	if tg.ReportedSilent {
+		text += ", silent"
+	}
+	if tg.ReportedLatency > 0 {
+		text += fmt.Sprintf(", latency %d %% of the usual", tg.ReportedLatency)
+	}
+	return text
+}
--- a/internal/edge/status.go
+++ b/internal/edge/status.go
@@ -15,7 +15,7 @@
 func (i *Instance) status(context.Context, url.Values) (any, error) {
 	now := i.now()
 	s := explain.EdgeStatus{Instance: i.settings.Name, Zone: i.settings.Zone, NotReady: i.notReadyReasons()}
-	s.ReadsStore = i.registry.isReader(now)
+	s.ReadsStore, s.ZoneInstances = i.registry.isReader(now), i.registry.zoneSize()
 	for _, kind := range i.replica.Kinds() {
 		age, listed := i.replica.Age(now, kind)
 		held := i.replica.Version(kind)
@@ -35,6 +35,7 @@
 
 func (i *Instance) targetStatus(now time.Duration, t *view.Target) explain.TargetStatus {
 	load, suspected := i.forward.Load(now, t.ID)
+	reported := i.forward.Reported(now, t.ID)
 	state := "ready"
 	switch {
 	case i.forward.View.Ended(now, t):
@@ -51,5 +52,6 @@
 	return explain.TargetStatus{
 		Target: string(t.ID), Service: string(t.Service), Zone: t.Zone, State: state,
 		Open: load.Open, Busy: load.Busy, LatencyMillis: load.Latency.Milliseconds(),
+		ReportedBy: reported.Sources, ReportedSilent: reported.Silent, ReportedLatency: reported.Latency,
 	}
 }
--- a/internal/explain/edge.go
+++ b/internal/explain/edge.go
@@ -12,11 +12,13 @@
 	NotReady []string `json:"not_ready"`
 	// ReadsStore is true if the instance reads from the store, and false if it reads
 	// from another instance.
-	ReadsStore bool           `json:"reads_store"`
-	Config     uint64         `json:"config_version"`
-	Flows      int            `json:"flows"`
-	Kinds      []KindStatus   `json:"kinds"`
-	Targets    []TargetStatus `json:"targets"`
+	ReadsStore bool `json:"reads_store"`
+	// ZoneInstances is the number of registered instances of the data centre, this one included.
+	ZoneInstances int            `json:"zone_instances"`
+	Config        uint64         `json:"config_version"`
+	Flows         int            `json:"flows"`
+	Kinds         []KindStatus   `json:"kinds"`
+	Targets       []TargetStatus `json:"targets"`
 }
 
 // KindStatus is the state of the replica of one kind of objects.
@@ -42,4 +44,10 @@
 	Open          int   `json:"open"`
 	Busy          int   `json:"busy"`
 	LatencyMillis int64 `json:"latency_ms"`
+	// ReportedBy is the number of other instances whose reports about the target count.
+	// ReportedSilent is true if enough of them report it silent, ReportedLatency is the
+	// latency they report, in percent of the usual; 0 if unknown.
+	ReportedBy      int  `json:"reported_by,omitempty"`
+	ReportedSilent  bool `json:"reported_silent,omitempty"`
+	ReportedLatency int  `json:"reported_latency_percent,omitempty"`
 }
