--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -129,6 +129,12 @@
 
 // start runs an instance at 127.0.0.N with the given store and seeds.
 func (s *testSite) start(n int, store netip.AddrPort, seeds ...netip.AddrPort) *node {
+	s.t.Helper()
+	return s.startWith(n, store, func(*edge.Settings) {}, seeds...)
+}
+
+// startWith runs an instance with changed settings.
+func (s *testSite) startWith(n int, store netip.AddrPort, change func(*edge.Settings), seeds ...netip.AddrPort) *node {
 	s.t.Helper()
 	ip := netip.AddrFrom4([4]byte{127, 0, 0, byte(n)})
 	at := func() netip.AddrPort { return netip.AddrPortFrom(ip, freePort(s.t)) }
@@ -136,6 +142,7 @@
 		Name: fmt.Sprintf("instance-%d", n), Zone: "a", Packet: netip.AddrPortFrom(ip, s.packetPort),
 		Ready: at(), Peer: at(), Admin: at(), Store: store, Seeds: seeds, MemoryMB: 128, Workers: 1, Deployment: edge.DefaultDeployment(),
 	}
+	change(set)
 	log := &lockedBuffer{}
 	logger, err := logfield.New(log, "info", logfield.JSON)
 	must.NoError(s.t, err)
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -140,6 +140,9 @@
 	if p.EvacuationKind != "" {
 		i.forward.View.RequireEvacuations()
 	}
+	if s.Reports.IsValid() {
+		i.forward.EnableReports()
+	}
 	return i
 }
 
@@ -184,6 +187,7 @@
 		return err
 	}
 	i.startReading(runCtx)
+	i.startReports(runCtx)
 	go i.tickLoop(runCtx)
 	go i.watchSettings(runCtx, file, reload)
 	failed := make(chan error, 1)
--- a/internal/edge/recover_test.go
+++ b/internal/edge/recover_test.go
@@ -16,6 +16,7 @@
 	"guavaloom.example/guavaloom/internal/invariant"
 	"guavaloom.example/guavaloom/internal/logfield"
 	"guavaloom.example/guavaloom/internal/objectstore"
+	"guavaloom.example/guavaloom/internal/targetreport"
 	"guavaloom.example/guavaloom/internal/view"
 )
 
@@ -118,3 +119,19 @@
 }
 
 func nothingToServe(func() bool) http.Handler { return http.NotFoundHandler() }
+
+// Guards against a panic on one report that ends the process.
+func TestFailureOnOneReport(t *testing.T) {
+	var out bytes.Buffer
+	i := newTestInstance(t, &out)
+	i.registry.put("other", "a", netip.MustParseAddrPort("127.0.0.2:1"))
+	data, err := (&targetreport.Report{Sequence: 1, Entries: []targetreport.Entry{{Token: 1}}}).Encode()
+	must.NoError(t, err)
+	// Reports are not enabled in the forwarder, so that it panics.
+	r := &reporter{i: i}
+	r.receive(netip.MustParseAddr("127.0.0.2"), data)
+	i.log.Flush()
+	must.StrContains(t, out.String(), `"part":"report"`)
+	must.True(t, i.mu.TryLock(), must.Sprint("the lock is still held"))
+	i.mu.Unlock()
+}
--- a/internal/edge/registry.go
+++ b/internal/edge/registry.go
@@ -173,6 +173,30 @@
 	return len(r.ranks[r.self.zone])
 }
 
+// othersInZone returns the addresses of the healthy other instances of this data centre.
+func (r *registry) othersInZone(now time.Duration) []netip.Addr {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	own := r.ranks[r.self.zone]
+	out := make([]netip.Addr, 0, len(own))
+	for _, p := range own {
+		if p.addr.Addr() != r.self.addr.Addr() && r.healthy(now, p.addr) {
+			out = append(out, p.addr.Addr())
+		}
+	}
+	return out
+}
+
+// isOtherInZone reports whether another instance of this data centre is registered with an address.
+func (r *registry) isOtherInZone(addr netip.Addr) bool {
+	if addr == r.self.addr.Addr() {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(r.ranks[r.self.zone], func(p *peer) bool { return p.addr.Addr() == addr })
+}
+
 // firstHealthy returns the first n of the given instances that are healthy or this one.
 func (r *registry) firstHealthy(now time.Duration, peers []*peer, n int) []*peer {
 	var out []*peer
--- a/internal/edge/registry_test.go
+++ b/internal/edge/registry_test.go
@@ -217,3 +217,21 @@
 	must.MapNotContainsKey(t, r.ranks, "b")
 	must.True(t, slices.IsSortedFunc(r.ranks["a"], byRank))
 }
+
+// Guards against reports to or from instances of other data centres, those that do not answer, or
+// this one, also under an earlier name.
+func TestInstancesForReports(t *testing.T) {
+	addr := func(ip string) netip.AddrPort { return netip.AddrPortFrom(netip.MustParseAddr(ip), 7000) }
+	r := newRegistry(&Settings{Name: "self", Zone: "a", Peer: addr("10.0.0.1")})
+	r.put("earlier-self", "a", addr("10.0.0.1"))
+	r.put("one", "a", addr("10.0.0.2"))
+	r.put("failed", "a", addr("10.0.0.3"))
+	r.put("foreign", "b", addr("10.0.0.4"))
+	r.put("removed", "a", addr("10.0.0.5"))
+	r.remove("removed")
+	r.recordFailure(0, addr("10.0.0.3"))
+	must.Eq(t, []netip.Addr{netip.MustParseAddr("10.0.0.2")}, r.othersInZone(0))
+	for ip, want := range map[string]bool{"10.0.0.1": false, "10.0.0.2": true, "10.0.0.3": true, "10.0.0.4": false, "10.0.0.5": false, "10.0.0.6": false} {
+		must.Eq(t, want, r.isOtherInZone(netip.MustParseAddr(ip)), must.Sprint(ip))
+	}
+}
--- a/internal/metric/names.go
+++ b/internal/metric/names.go
@@ -50,6 +50,7 @@
 	EdgeViewAge       = Declaration{"guavaloom_edge_view_age_ms", "milliseconds", "Time since the replica was last known to match the store, by kind of object.", Gauge, "kind"}
 	EdgeChanges       = Declaration{"guavaloom_edge_view_changes_total", "changes", "Changes of the view, by kind.", Counter, "change"}
 	EdgeSkippedInputs = Declaration{"guavaloom_edge_skipped_inputs_total", "inputs", "Packets and entries skipped because processing them panicked, by part of the program.", Counter, "part"}
+	EdgeReports       = Declaration{"guavaloom_edge_reports_total", "datagrams", "Reports about targets exchanged with other instances: sent, received, or dropped with the reason.", Counter, "event"}
 	EdgeEvacuations   = Declaration{"guavaloom_edge_evacuations", "data centres", "Evacuated data centres known to the instance.", Gauge, ""}
 	EdgeUnreadable    = Declaration{"guavaloom_edge_unreadable_total", "entries", "Entries of the store that could not be read, by kind.", Counter, "kind"}
 )
