forwarding: tests of trial flows and unknown targets in reports

Change: TestNewInstanceAvoidsReportedTarget runs over two trials while the others still observe the silence, further cases for the rest. The check for an opening flow is removed: the backoff after a trial is at least openingTimeout.

--- a/internal/forwarding/reports.go
+++ b/internal/forwarding/reports.go
@@ -62,7 +62,7 @@
 	answers answerWindow
 	merged  targetreport.Merged
 	// trialAt is when the next flow is tried on a target that is reported silent. backoff
-	// doubles with each trial.
+	// doubles with each trial and is then at least as long as a flow may take to open.
 	trialAt, backoff time.Duration
 	// ownLatency is the relative latency observed here in percent; 0 if unknown.
 	ownLatency int
@@ -104,7 +104,7 @@
 	if now >= l.reported.merged.SilentUntil || l.lastResponseAt > 0 && now < l.lastResponseAt+freshObservation {
 		return false
 	}
-	return now < l.reported.trialAt || l.opening > 0
+	return now < l.reported.trialAt
 }
 
 // slowness returns the factor by which the target's relative latency raises its utilization: 1
--- a/internal/forwarding/reports_test.go
+++ b/internal/forwarding/reports_test.go
@@ -78,29 +78,39 @@
 		b.findSilent(began, "i-dead")
 	}
 	third := z.start(began, "i-dead", "i-live")
-	now := began
-	for ; !third.loads["i-dead"].avoided(now); now += reportInterval {
-		z.exchange(now)
-		must.LessEq(t, time.Second, now-began)
-	}
-	learned := now
-	for n := 0; now < learned+minBackoff-reportInterval; now += 50 * ms {
-		must.Eq(t, "i-live", third.syn(now, flowTo(bookingAddr, n), 0).Target.ID)
-		n++
+	learned := began + reportInterval // at the latest
+	must.LessEq(t, time.Second, learned-began)
+	now := learned
+	flow := 0
+	// pass advances the time, with exchanges; the others still observe the silence.
+	pass := func(until time.Duration) {
+		for ; now < until; now += 50 * ms {
+			if (now-learned)%reportInterval == 0 {
+				for _, b := range z.instances[:2] {
+					b.findSilent(now, "i-dead")
+				}
+				z.exchange(now)
+			}
+			flow++
+			must.Eq(t, "i-live", third.syn(now, flowTo(bookingAddr, flow), 0).Target.ID, must.Sprint(now))
+			must.True(t, third.Reported(now, "i-dead").Silent)
+		}
 	}
-	must.True(t, third.Reported(now, "i-dead").Silent)
+	pass(learned + minBackoff)
 
-	// One flow is the trial, the next ones wait for its result.
-	for ; third.loads["i-dead"].avoided(now); now += reportInterval {
-		must.LessEq(t, learned+2*minBackoff, now)
-		z.exchange(now)
-	}
-	trial := third.syn(now, flowTo(bookingAddr, 1000), 0)
-	must.Eq(t, "i-dead", trial.Target.ID)
-	must.Eq(t, "i-live", third.syn(now, flowTo(bookingAddr, 1001), 0).Target.ID)
+	// One flow is the trial; the next ones wait for its result, or twice as long as before.
+	must.Eq(t, "i-dead", third.syn(now, flowTo(bookingAddr, 0), 0).Target.ID)
+	z.exchange(now)
+	must.Eq(t, "i-live", third.syn(now, flowTo(bookingAddr, 10_000), 0).Target.ID)
+	third.flows.remove(flowTo(bookingAddr, 0), third.flows.flows[flowTo(bookingAddr, 0)]) // without a result
+	pass(learned + 3*minBackoff)
 
 	// An answer seen here prevails over the reports.
-	third.accept(now+10*ms, flowTo(bookingAddr, 1000), trial)
+	trial := third.syn(now, flowTo(bookingAddr, 0), 0)
+	must.Eq(t, "i-dead", trial.Target.ID)
+	must.True(t, third.loads["i-dead"].avoided(now))
+	third.accept(now+10*ms, flowTo(bookingAddr, 0), trial)
+	must.True(t, third.Reported(now+10*ms, "i-dead").Silent)
 	must.False(t, third.loads["i-dead"].avoided(now+10*ms))
 }
 
@@ -143,6 +153,18 @@
 	must.False(t, third.loads["i-1"].avoided(now+reportInterval))
 }
 
+// Guards against memory and processor time for targets that do not exist here.
+func TestUnknownTargetsAreLeftOut(t *testing.T) {
+	z := newReportingZone(t, 1, "i-1")
+	b := z.instances[0]
+	known := b.View.Target("i-1").Token
+	must.True(t, b.AddReport(0, netip.MustParseAddr("10.0.0.2"), targetreport.Report{Entries: []targetreport.Entry{
+		{Token: known + 1, Silence: time.Second}, {Token: known, Silence: time.Second}, {Silence: time.Second},
+	}}))
+	sources, targets := b.reports.Size()
+	must.Eq(t, []int{1, 1}, []int{sources, targets})
+}
+
 // answer lets a target answer a request on a flow of its own.
 func (b *fixture) answer(now time.Duration, id target.ID, latency time.Duration) {
 	l := b.loads[id]
@@ -215,7 +237,9 @@
 	must.SliceEmpty(t, b.Observations(now+3*time.Second), must.Sprint("no answer in the last 3 s"))
 
 	b = newInstance()
+	b.put(0, b.entry("i-farther", "booking", "b"))
 	b.answer(now, "i-far", time.Second)
+	b.answer(now, "i-farther", 9*time.Second)
 	must.SliceEmpty(t, b.Observations(now), must.Sprint("latency across data centres"))
 
 	b = newInstance()
