--- a/internal/cli/instances.go
+++ b/internal/cli/instances.go
@@ -68,7 +68,22 @@
 		if a := tg.Allowance; a != nil {
 			line += fmt.Sprintf(", cold: %d of %d flows a second used", a.Used, a.Share)
 		}
-		lines = append(lines, line)
+		lines = append(lines, line+reportedText(tg))
 	}
 	return lines
 }
+
+// reportedText returns what other instances report of a target, or "".
+func reportedText(tg explain.TargetStatus) string {
+	if tg.ReportedBy == 0 {
+		return ""
+	}
+	text := fmt.Sprintf(", reported by %d", tg.ReportedBy)
+	if tg.ReportedSilent {
+		text += ", silent"
+	}
+	if tg.ReportedLatency > 0 {
+		text += fmt.Sprintf(", latency %d %% of the usual", tg.ReportedLatency)
+	}
+	return text
+}
--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -139,6 +139,12 @@
 
 // start runs an instance at 127.0.0.N with the given store and seeds.
 func (s *testSite) start(n int, store netip.AddrPort, seeds ...netip.AddrPort) *node {
+	s.t.Helper()
+	return s.startWith(n, store, func(*edge.Settings) {}, seeds...)
+}
+
+// startWith runs an instance with changed settings.
+func (s *testSite) startWith(n int, store netip.AddrPort, change func(*edge.Settings), seeds ...netip.AddrPort) *node {
 	s.t.Helper()
 	ip := netip.AddrFrom4([4]byte{127, 0, 0, byte(n)})
 	at := func() netip.AddrPort { return netip.AddrPortFrom(ip, freePort(s.t)) }
@@ -147,6 +153,7 @@
 		Ready: at(), Peer: at(), Admin: at(), Store: store, Seeds: seeds, MemoryMB: 128, Workers: 1, Deployment: s.deployment,
 		Pace: s.pace,
 	}
+	change(set)
 	log := &lockedBuffer{}
 	logger, err := logfield.New(log, "info", logfield.JSON)
 	must.NoError(s.t, err)
--- a/internal/explain/edge.go
+++ b/internal/explain/edge.go
@@ -12,11 +12,13 @@
 	NotReady []string `json:"not_ready"`
 	// ReadsStore is true if the instance reads from the store, and false if it reads
 	// from another instance.
-	ReadsStore bool           `json:"reads_store"`
-	Config     uint64         `json:"config_version"`
-	Flows      int            `json:"flows"`
-	Kinds      []KindStatus   `json:"kinds"`
-	Targets    []TargetStatus `json:"targets"`
+	ReadsStore bool `json:"reads_store"`
+	// ZoneInstances is the number of registered instances of the data centre, this one included.
+	ZoneInstances int            `json:"zone_instances"`
+	Config        uint64         `json:"config_version"`
+	Flows         int            `json:"flows"`
+	Kinds         []KindStatus   `json:"kinds"`
+	Targets       []TargetStatus `json:"targets"`
 }
 
 // KindStatus is the state of the replica of one kind of objects.
@@ -47,6 +49,12 @@
 	Pace float64 `json:"pace,omitempty"`
 	// Allowance is missing if the target is warm or its service has no rate for cold targets.
 	Allowance *AllowanceStatus `json:"allowance,omitempty"`
+	// ReportedBy is the number of other instances whose reports about the target count.
+	// ReportedSilent is true if enough of them report it silent, ReportedLatency is the
+	// latency they report, in percent of the usual; 0 if unknown.
+	ReportedBy      int  `json:"reported_by,omitempty"`
+	ReportedSilent  bool `json:"reported_silent,omitempty"`
+	ReportedLatency int  `json:"reported_latency_percent,omitempty"`
 }
 
 // AllowanceStatus is what an instance may give a cold target.
--- a/internal/forwarding/placement.go
+++ b/internal/forwarding/placement.go
@@ -202,6 +202,9 @@
 // is false for targets that are chosen only if no other is left.
 func (c *chooser) assess(now time.Duration, l *targetLoad, instances int, p flowParams) (o candidate, reliable bool) {
 	o = candidate{load: l, utilization: l.utilization(now, instances)}
+	if l.reported != nil && !c.paced { // else the pace takes account of reports
+		o.utilization *= l.slowness(now)
+	}
 	reliable = !l.avoided(now) && !l.target.Removed
 	if !reliable {
 		o.utilization += suspectPenalty
