pace, forwarding: failed requests lower the pace and are reported

Cause: targets that fail part of their requests answer the others in time, so that their pace recovered within a second and no instance told another.

Change: a failed request counts as an answer of five times the usual latency in the pace's mean, and raises the relative latency in reports as it raises the utilization. TestObservations expects such a target to be reported as slow where it expected no report.

--- a/internal/forwarding/reports.go
+++ b/internal/forwarding/reports.go
@@ -187,14 +187,16 @@
 	return (all[(len(all)-1)/2] + all[len(all)/2]) / 2
 }
 
-// observe returns what is observed of a target, and records its relative latency. usual is the
-// latency to compare with; 0 if there is none. Reports must be enabled.
+// observe returns what is observed of a target, and records its relative latency, which failed
+// requests raise as they raise its utilization. usual is the latency to compare with; 0 if there
+// is none. Reports must be enabled.
 func (l *targetLoad) observe(now, usual time.Duration) targetreport.Entry {
 	e := targetreport.Entry{
 		Token: l.target.Token, Incarnation: targetreport.IncarnationOf(l.incarnation), Silence: l.silentFor(now),
 	}
 	if e.Answers = l.reported.answers.count(now); e.Answers > 0 && usual > 0 {
-		e.Latency = max(int(100*l.latency/usual), 1)
+		relative := float64(l.latency) / float64(usual) * (1 + failurePenalty*l.currentFailureShare(now))
+		e.Latency = max(int(100*relative), 1)
 	}
 	l.reported.ownLatency = e.Latency
 	return e
--- a/internal/forwarding/reports_test.go
+++ b/internal/forwarding/reports_test.go
@@ -258,7 +258,10 @@
 	for range 2 {
 		b.loads["i-1"].recordOutcome(now+time.Second, false)
 	}
-	must.SliceEmpty(t, b.Observations(now+time.Second), must.Sprint("answered within responseTimeout"))
+	failing := observed(b, now+time.Second, "i-1")
+	must.Zero(t, failing.Silence, must.Sprint("answered within responseTimeout"))
+	must.Between(t, 250, failing.Latency, 350) // about half of its requests failed
+	must.Len(t, 1, b.Observations(now+time.Second))
 	must.Eq(t, responseTimeout, observed(b, now+responseTimeout, "i-1").Silence)
 }
 
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -31,6 +31,9 @@
 	// rejectionFactor is the relative latency below which an answer is taken for a rejection: a
 	// full target turns requests away faster than it serves any.
 	rejectionFactor = 0.2
+	// failureFactor is the relative latency as which a failed request counts: the caller has to
+	// try again, or loses it.
+	failureFactor = 5
 	// sampleWeight is the weight of a new sample in the relative latency, lateSampleWeight that of a
 	// late one: an instance gets about one sample a second of a target that became slow.
 	sampleWeight, lateSampleWeight = 0.3, 0.5
@@ -206,9 +209,11 @@
 	p.setValue(v)
 }
 
-// Fail applies a request without an answer.
+// Fail applies a request that failed or had no answer.
 func (p *Pace) Fail(t Time) {
 	p.Advance(t)
+	p.addSample(failureFactor, sampleWeight)
+	p.answeredAt = t.Now
 	if t.Now >= p.halvedAt+halvingInterval {
 		v := float64(p.value) / 2
 		p.markHalved(t.Now, v)
