--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -40,7 +40,7 @@
 		},
 	}
 	requestCmd.Flags().StringVar(&request.IdempotencyKey, "idempotency-key", "", "idempotency key of the request")
-	cmd.AddCommand(flowCmd, requestCmd, t.logCommand())
+	cmd.AddCommand(flowCmd, requestCmd, t.placementCommand(&admin), t.logCommand())
 	return cmd
 }
 
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -221,6 +221,7 @@
 		return err
 	}
 	adm.Add(explain.EdgeStatusPath, i.status)
+	adm.Add(explain.PlacementPath, i.explainPlacement)
 	go i.reportEnd("admin", adm.Serve)
 	context.AfterFunc(ctx, func() { _ = adm.Shutdown(context.Background()) }) // the process ends
 	ready := i.platform.ReadyHandler(func() bool { return len(i.notReadyReasons()) == 0 })
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -311,45 +311,68 @@
 	return true
 }
 
-// place chooses a target for a new flow. The services of the route are tried in order,
-// starting with the share that the flow hashes to.
+// place gives a new flow to a target, or decides why it gets none.
 func (f *Forwarder) place(now time.Duration, s *Segment, r *view.Route, exclude *targetLoad, reason Reason) Decision {
+	if f.limits.Pace {
+		for _, share := range r.Shares {
+			f.prepareZone(now, f.services[share.Service])
+		}
+	}
+	p := f.choosePlacement(now, s, r, exclude, &f.chooser, func(id service.ID) *serviceTargets { return f.services[id] })
+	f.recordAdmission(now, s, p.service, &p.params, &p.choice)
+	l := p.choice.load
+	if l == nil {
+		return p.rejection
+	}
+	if state := f.flows.add(s.Flow, l, now); state != nil {
+		state.openingAt, state.firstPacketAt, state.sawFirstPacket, state.firstPacketSeq = now, now, true, s.Seq
+		l.opening++
+	}
+	f.placements++
+	l.lastPlacement = f.placements
+	f.pacePlaced(now, l)
+	f.useAllowance(now, l)
+	l.reported.recordPlacement(now)
+	d := f.forwardTo(l, r, reason, p.choice.candidates)
+	d.LocalEvacuated, d.HeldBack = p.choice.excluded.localEvacuated, p.choice.excluded.localCold
+	return d
+}
+
+// placement is the target chosen for a new flow, or the decision for one that gets none.
+type placement struct {
+	service   service.ID
+	params    flowParams
+	choice    choice
+	rejection Decision // valid if choice.load is nil
+}
+
+// choosePlacement chooses a target for a new flow without giving it the flow. The services of
+// the route are tried in order, starting with the share that the flow hashes to.
+func (f *Forwarder) choosePlacement(now time.Duration, s *Segment, r *view.Route, exclude *targetLoad, c *chooser, targets func(service.ID) *serviceTargets) (out placement) {
 	first := pickShare(r.Shares, s.Flow.Hash())
-	p := flowParams{route: r, exclude: exclude, maxLatency: latencyLimit(r, s.Ack > 0)}
+	p := &out.params
+	*p = flowParams{route: r, exclude: exclude, maxLatency: latencyLimit(r, s.Ack > 0)}
 	p.flow, p.byClass = f.overloadParams(now, s, r)
 	if f.linkFull(now, s, r) {
-		return Decision{Verdict: Reset, Reason: LinkFull, Route: r}
+		out.rejection = Decision{Verdict: Reset, Reason: LinkFull, Route: r}
+		return out
 	}
 	var excluded exclusions
 	for n := range r.Shares {
-		share := r.Shares[(first+n)%len(r.Shares)]
-		if f.limits.Pace {
-			f.prepareZone(now, f.services[share.Service])
-		}
-		p.coldRate = f.View.Config().ColdRates[share.Service]
-		c := f.chooser.choose(now, f.View, f.services[share.Service], p)
-		excluded.add(c.excluded)
-		f.recordAdmission(now, s, share.Service, &p, &c)
-		switch {
-		case c.rejected:
-			return Decision{Verdict: Reset, Reason: c.overloadReason(&p), Route: r, Load: c.report()}
-		case c.load == nil:
-			continue
+		out.service = r.Shares[(first+n)%len(r.Shares)].Service
+		p.coldRate = f.View.Config().ColdRates[out.service]
+		out.choice = c.choose(now, f.View, targets(out.service), *p)
+		excluded.add(out.choice.excluded)
+		if out.choice.rejected {
+			out.rejection = Decision{Verdict: Reset, Reason: out.choice.overloadReason(p), Route: r, Load: out.choice.report()}
+			return out
 		}
-		if state := f.flows.add(s.Flow, c.load, now); state != nil {
-			state.openingAt, state.firstPacketAt, state.sawFirstPacket, state.firstPacketSeq = now, now, true, s.Seq
-			c.load.opening++
+		if out.choice.load != nil {
+			return out
 		}
-		f.placements++
-		c.load.lastPlacement = f.placements
-		f.pacePlaced(now, c.load)
-		f.useAllowance(now, c.load)
-		c.load.reported.recordPlacement(now)
-		d := f.forwardTo(c.load, r, reason, c.candidates)
-		d.LocalEvacuated, d.HeldBack = c.excluded.localEvacuated, c.excluded.localCold
-		return d
 	}
-	return f.noTarget(now, r, s.Ack > 0, excluded)
+	out.rejection = f.noTarget(now, r, s.Ack > 0, excluded)
+	return out
 }
 
 // noTarget decides on a first packet for which no target is left. Targets that may not serve
--- a/internal/forwarding/overload.go
+++ b/internal/forwarding/overload.go
@@ -65,7 +65,7 @@
 // linkFull reports whether a new flow must be rejected because the instance's link has no room
 // for it. A retransmitted first packet is not rejected: its original may have opened the flow.
 func (f *Forwarder) linkFull(now time.Duration, s *Segment, r *view.Route) bool {
-	return f.overload != nil && s.Ack == 0 && !f.overload.link.Admit(now, r.Kind)
+	return f.overload != nil && s.Ack == 0 && !f.overload.link.Admits(now, r.Kind)
 }
 
 // arrive records a new flow and returns the latency above which targets are late for it.
@@ -100,6 +100,9 @@
 
 // recordAdmission records what became of a new flow.
 func (f *Forwarder) recordAdmission(now time.Duration, s *Segment, id service.ID, p *flowParams, c *choice) {
+	if f.overload != nil && c.load != nil {
+		f.overload.link.Count(now, p.route.Kind)
+	}
 	t := f.services[id]
 	if !p.byClass || t == nil || c.load == nil && !c.rejected {
 		return
--- a/internal/forwarding/placement.go
+++ b/internal/forwarding/placement.go
@@ -34,6 +34,8 @@
 	// rotation is where the next examination of remote targets begins.
 	rotation int
 	cold     coldLimits
+	// trace, if not nil, is called for each target that was examined.
+	trace func(Examined)
 }
 
 // flowParams are the properties of a new flow that affect the choice of its target.
@@ -143,10 +145,12 @@
 func (c *chooser) examineLocal(now time.Duration, v *view.View, z *zoneTargets, p flowParams, best *bestCandidates, paced *pacedChoice, out *choice) {
 	for _, l := range z.targets {
 		if !v.AcceptsNewFlows(now, l.target) || c.holdsBack(now, l, p.coldRate, &out.excluded) {
+			c.traceSkipped(now, v, l)
 			continue
 		}
 		out.candidates++
 		o, reliable := c.assess(now, l, c.instances, p)
+		c.traceCandidate(&o, reliable)
 		best.local.keepBetter(o)
 		if c.paced {
 			paced.add(now, &z.pacing, l, o, c.instances, reliable)
@@ -186,10 +190,12 @@
 				break
 			}
 			if c.holdsBack(now, l, p.coldRate, &out.excluded) {
+				c.traceSkipped(now, v, l)
 				continue
 			}
 			out.candidates++
 			o, reliable := c.assess(now, l, 1, p)
+			c.traceCandidate(&o, reliable)
 			best.remote.keepBetter(o)
 			if reliable {
 				remote.add(now, o, p.maxLatency)
--- a/internal/overload/link.go
+++ b/internal/overload/link.go
@@ -60,17 +60,18 @@
 	return (bulk + float64(l.small.sum(now, linkBuckets))) / (l.Rate * span)
 }
 
-// Admit reports whether the link has room for a new flow of the given kind, which it then counts.
-func (l *Link) Admit(now time.Duration, k view.Kind) bool {
+// Admits reports whether the link has room for a new flow of the given kind.
+func (l *Link) Admits(now time.Duration, k view.Kind) bool {
+	return k != view.Upload || l.Load(now) <= linkLimit
+}
+
+// Count records that a new flow of the given kind was admitted.
+func (l *Link) Count(now time.Duration, k view.Kind) {
 	if k != view.Upload || l.Rate <= 0 {
-		return true
-	}
-	if l.Load(now) > linkLimit {
-		return false
+		return
 	}
 	l.admitted.add(now)
 	if l.uploads++; l.uploads >= maxCountedUploads {
 		l.uploads, l.uploadBytes = l.uploads/2, l.uploadBytes/2
 	}
-	return true
 }
--- a/internal/overload/link_test.go
+++ b/internal/overload/link_test.go
@@ -27,12 +27,13 @@
 	for now := time.Duration(0); now < 10*time.Second; now += step {
 		tick := int(now / step)
 		crowd := now < 8*time.Second
-		if crowd && tick*uploads/1000 != (tick+1)*uploads/1000 && l.Admit(now, view.Upload) {
+		if crowd && tick*uploads/1000 != (tick+1)*uploads/1000 && l.Admits(now, view.Upload) {
+			l.Count(now, view.Upload)
 			admitted++
 			open[admitted] = perUpload
 		}
 		if tick%10 == 0 {
-			must.True(t, l.Admit(now, view.AtMostOnce))
+			must.True(t, l.Admits(now, view.AtMostOnce))
 			l.Use(now, 72, rate/1000-72)
 		}
 		for id := range open {
@@ -51,12 +52,12 @@
 	}
 	must.LessEq(t, 100, over, must.Sprint("milliseconds with a full link"))
 	must.GreaterEq(t, 0.6*8*rate, float64(bytes))
-	must.True(t, l.Admit(10*time.Second, view.Upload))
+	must.True(t, l.Admits(10*time.Second, view.Upload))
 }
 
 // Guards against rejections where the rate of the link is not known.
 func TestUnknownLinkRate(t *testing.T) {
 	var l Link
 	l.Use(0, 72, 1<<30)
-	must.True(t, l.Admit(0, view.Upload))
+	must.True(t, l.Admits(0, view.Upload))
 }
