--- a/internal/edge/explain.go
+++ b/internal/edge/explain.go
@@ -71,7 +71,10 @@
 		}
 	}
 	e, err := endpoint(text)
-	return e, errors.Wrapf(err, "route %q is unknown and no endpoint", text)
+	if err != nil {
+		return e, errors.Wrapf(err, "route %q is unknown and no endpoint", text)
+	}
+	return e, nil
 }
 
 func endpoint(text string) (view.Endpoint, error) {
--- a/internal/edge/explain_test.go
+++ b/internal/edge/explain_test.go
@@ -18,12 +18,13 @@
 	one.awaitReady()
 	ask := func(query string) (a explain.PlacementAnswer) {
 		t.Helper()
-		must.NoError(t, json.Unmarshal(one.get(explain.PlacementPath+"?"+query), &a))
+		body := one.get(explain.PlacementPath + "?" + query)
+		must.NoError(t, json.Unmarshal(body, &a), must.Sprint(string(body)))
 		return a
 	}
 	for _, route := range []string{"booking", bookingEndpoint.String()} {
 		a := ask("route=" + route + "&client=100.64.0.7:1025")
-		must.Eq(t, "forward", a.Decision)
+		must.Eq(t, "forward", a.Decision, must.Sprint(route))
 		must.Eq(t, "i-a1", a.Target)
 		must.Eq(t, "booking", a.Route)
 		must.Len(t, 1, a.Targets)
