--- a/internal/cli/instances.go
+++ b/internal/cli/instances.go
@@ -56,6 +56,9 @@
 		}
 		lines = append(lines, fmt.Sprintf("  %s: version %d in epoch %d of the store, %d ms old", k.Kind, k.Version, k.Epoch, k.AgeMillis))
 	}
+	for _, e := range s.Evacuations {
+		lines = append(lines, fmt.Sprintf("  %s is evacuated: known for %d ms, version %d in epoch %d of the store", e.Zone, e.SinceMillis, e.Version, e.Epoch))
+	}
 	for _, tg := range s.Targets {
 		if targets {
 			lines = append(lines, fmt.Sprintf("  %s of %s in %s: %s, %d flows, %d requests in flight, %d ms",
--- a/internal/edge/status.go
+++ b/internal/edge/status.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"guavaloom.example/guavaloom/internal/explain"
+	"guavaloom.example/guavaloom/internal/objectstore"
 	"guavaloom.example/guavaloom/internal/view"
 )
 
@@ -28,11 +29,21 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	s.Config, s.Flows = i.forward.View.Config().Version, i.forward.Flows()
+	for _, e := range i.forward.View.Evacuations() {
+		s.Evacuations = append(s.Evacuations, evacuationStatus(now, e))
+	}
 	i.forward.View.Targets(func(t *view.Target) { s.Targets = append(s.Targets, i.targetStatus(now, t)) })
 	slices.SortFunc(s.Targets, func(a, b explain.TargetStatus) int { return cmp.Compare(a.Target, b.Target) })
 	return s, nil
 }
 
+func evacuationStatus(now time.Duration, e view.Evacuation) explain.EvacuationStatus {
+	version := objectstore.Version(e.Version)
+	return explain.EvacuationStatus{
+		Zone: e.Zone, SinceMillis: (now - e.Since).Milliseconds(), Version: version.Revision(), Epoch: version.Epoch(),
+	}
+}
+
 func (i *Instance) targetStatus(now time.Duration, t *view.Target) explain.TargetStatus {
 	load, suspected := i.forward.Load(now, t.ID)
 	state := "ready"
@@ -45,6 +56,8 @@
 		state = "draining"
 	case t.Unreadable:
 		state = "unreadable"
+	case i.forward.View.Evacuated(t.Zone):
+		state = "evacuated"
 	case suspected:
 		state = "suspected"
 	}
--- a/internal/edge/telemetry.go
+++ b/internal/edge/telemetry.go
@@ -111,6 +111,8 @@
 	times    map[forwarding.Span]*metric.LatencyHistogram
 	// configAge and targetAge are the ages of the view in placements and refusals.
 	configAge, targetAge *metric.LatencyHistogram
+	// placedElsewhere and refused count the new flows that an evacuation affected.
+	placedElsewhere, refused metrics.Counter
 }
 
 type outcome struct {
@@ -126,6 +128,9 @@
 		times:     map[forwarding.Span]*metric.LatencyHistogram{},
 		configAge: s.Histogram(metric.EdgeUsedViewAge, "config"),
 		targetAge: s.Histogram(metric.EdgeUsedViewAge, "targets"),
+
+		placedElsewhere: s.Counter(metric.EdgeEvacuated, "placed_elsewhere"),
+		refused:         s.Counter(metric.EdgeEvacuated, "refused"),
 	}
 	for _, span := range []forwarding.Span{forwarding.Opening, forwarding.FirstData, forwarding.FirstAnswer, forwarding.Answer} {
 		c.times[span] = s.Histogram(metric.EdgeTimes, span.String())
@@ -143,6 +148,12 @@
 		c.outcomes[o] = counter
 	}
 	counter.Inc(1)
+	switch {
+	case d.LocalEvacuated:
+		c.placedElsewhere.Inc(1)
+	case d.Verdict == forwarding.Reset && d.Reason == forwarding.Evacuated:
+		c.refused.Inc(1)
+	}
 }
 
 // observer writes the forwarder's events to the log and the metrics.
--- a/internal/explain/edge.go
+++ b/internal/explain/edge.go
@@ -12,11 +12,23 @@
 	NotReady []string `json:"not_ready"`
 	// ReadsStore is true if the instance reads from the store, and false if it reads
 	// from another instance.
-	ReadsStore bool           `json:"reads_store"`
-	Config     uint64         `json:"config_version"`
-	Flows      int            `json:"flows"`
-	Kinds      []KindStatus   `json:"kinds"`
-	Targets    []TargetStatus `json:"targets"`
+	ReadsStore bool         `json:"reads_store"`
+	Config     uint64       `json:"config_version"`
+	Flows      int          `json:"flows"`
+	Kinds      []KindStatus `json:"kinds"`
+	// Evacuations are the evacuated data centres that the instance knows, ordered by name.
+	Evacuations []EvacuationStatus `json:"evacuations"`
+	Targets     []TargetStatus     `json:"targets"`
+}
+
+// EvacuationStatus is an operator's request to evacuate a data centre, as known to an instance.
+type EvacuationStatus struct {
+	Zone string `json:"zone"`
+	// SinceMillis is the time since the instance learned of the request.
+	SinceMillis int64 `json:"since_ms"`
+	// Version and Epoch are the store's version of the request.
+	Version uint64 `json:"version"`
+	Epoch   uint64 `json:"store_epoch"`
 }
 
 // KindStatus is the state of the replica of one kind of objects.
@@ -36,7 +48,7 @@
 	Target  string `json:"target"`
 	Service string `json:"service"`
 	Zone    string `json:"zone"`
-	// State is ready, draining, suspected, unreadable, removed or ended.
+	// State is ready, draining, evacuated, suspected, unreadable, removed or ended.
 	State string `json:"state"`
 	// Open is the number of flows and Busy the number of requests in flight.
 	Open          int   `json:"open"`
--- a/internal/metric/names.go
+++ b/internal/metric/names.go
@@ -51,5 +51,6 @@
 	EdgeChanges       = Declaration{"guavaloom_edge_view_changes_total", "changes", "Changes of the view, by kind.", Counter, "change"}
 	EdgeSkippedInputs = Declaration{"guavaloom_edge_skipped_inputs_total", "inputs", "Packets and entries skipped because processing them panicked, by part of the program.", Counter, "part"}
 	EdgeEvacuations   = Declaration{"guavaloom_edge_evacuations", "data centres", "Evacuated data centres known to the instance.", Gauge, ""}
+	EdgeEvacuated     = Declaration{"guavaloom_edge_evacuated_flows_total", "flows", "New flows placed elsewhere because the instance's own data centre is evacuated, and new flows refused because of an evacuation, by outcome.", Counter, "outcome"}
 	EdgeUnreadable    = Declaration{"guavaloom_edge_unreadable_total", "entries", "Entries of the store that could not be read, by kind.", Counter, "kind"}
 )
