edge: tests of evacuations against the stand-in store

Cause: no test covered what an instance does with an evacuation while the store, a link or another instance fails.

The site of the tests can have targets in several data centres.

--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -48,11 +48,14 @@
 	t          *testing.T
 	store      *standin.Store
 	packetPort uint16
+	// deployment and regions are settings of the instances that are started next.
+	deployment edge.Deployment
+	regions    map[string]string
 }
 
 func newSite(t *testing.T) *testSite {
 	t.Helper()
-	s := &testSite{t: t, store: standin.New(), packetPort: freePort(t)}
+	s := &testSite{t: t, store: standin.New(), packetPort: freePort(t), deployment: edge.DefaultDeployment()}
 	t.Cleanup(s.store.Close)
 	s.configure(1)
 	return s
@@ -87,11 +90,16 @@
 	return true
 }
 
-// target starts and registers a target.
+// target starts and registers a target in data centre "a".
 func (s *testSite) target(id string, key uint64) *standin.Target {
+	s.t.Helper()
+	return s.targetIn("a", id, key)
+}
+
+func (s *testSite) targetIn(zone, id string, key uint64) *standin.Target {
 	s.t.Helper()
 	tg, err := standin.NewTarget(standin.TargetConfig{
-		ID: id, Service: "booking", Zone: "a", Key: key, PacketPort: s.packetPort, Listen: netip.MustParseAddrPort("127.0.0.1:0"),
+		ID: id, Service: "booking", Zone: zone, Key: key, PacketPort: s.packetPort, Listen: netip.MustParseAddrPort("127.0.0.1:0"),
 	})
 	must.NoError(s.t, err)
 	s.t.Cleanup(tg.Close)
@@ -134,7 +142,8 @@
 	at := func() netip.AddrPort { return netip.AddrPortFrom(ip, freePort(s.t)) }
 	set := &edge.Settings{
 		Name: fmt.Sprintf("instance-%d", n), Zone: "a", Packet: netip.AddrPortFrom(ip, s.packetPort),
-		Ready: at(), Peer: at(), Admin: at(), Store: store, Seeds: seeds, MemoryMB: 128, Workers: 1, Deployment: edge.DefaultDeployment(),
+		Ready: at(), Peer: at(), Admin: at(), Store: store, Seeds: seeds, MemoryMB: 128, Workers: 1,
+		Deployment: s.deployment, Regions: s.regions,
 	}
 	log := &lockedBuffer{}
 	logger, err := logfield.New(log, "info", logfield.JSON)
