edge: test that stale evacuations do not make an instance ready

Cause: a trial without EvacuationsFreshAt in viewConfirmed passed all tests.

Change: a test of the confirmation with a list of evacuations of unknown age.

Measured: passes.

--- a/internal/edge/evacuation_restore_test.go
+++ b/internal/edge/evacuation_restore_test.go
@@ -81,3 +81,19 @@
 	apply(evacuationList(t, 1, 10, false, "b"), false)
 	must.False(t, i.forward.View.Evacuated("b"))
 }
+
+// Guards against an instance that is ready while it knows the evacuations only from a copy of the
+// store that may be seconds old.
+func TestStaleEvacuationsAreNotConfirmed(t *testing.T) {
+	var out bytes.Buffer
+	i := newEvacuationInstance(t, &out)
+	for _, kind := range []string{"config", "targets"} {
+		i.applyListing(i.now(), kind, storeSource, evacuationList(t, 1, 4, false), true)
+	}
+	stale := evacuationList(t, 0, 4, false)
+	stale.Age = 10 * time.Second
+	i.applyListing(i.now(), "evacuations", storeSource, stale, true)
+	must.False(t, i.viewConfirmed())
+	i.applyListing(i.now(), "evacuations", storeSource, evacuationList(t, 1, 4, false), true)
+	must.True(t, i.viewConfirmed())
+}
