guavaloom evacuate: request and withdraw an evacuation

Cause: operators had no command to request or withdraw an evacuation, and guavaloom status did not list any.

Change: guavaloom evacuate [--withdraw] ZONE changes evacuations/ZONE in the product's object API by conditional update, repeats conflicts and unknown outcomes, and succeeds only on an acknowledged change, because reads may be stale. A withdrawal is refused if the request was replaced meanwhile. Unknown zones exit 2. guavaloom status lists the evacuations. guavaloomd does not read them; docs/design/evacuation.md, section 7, says what is missing.

Measured: go test ./internal/operator ./internal/cli ./internal/doccheck passes.

--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -71,7 +71,7 @@
 		},
 	}
 	root.PersistentFlags().StringVar(&t.output, "output", "text", "text or json")
-	root.AddCommand(t.bundleCommand(), t.keysCommand(), t.rollCommand(), t.statusCommand(), t.explainCommand(), t.instancesCommand(), t.versionCommand())
+	root.AddCommand(t.bundleCommand(), t.keysCommand(), t.rollCommand(), t.statusCommand(), t.explainCommand(), t.instancesCommand(), t.evacuateCommand(), t.versionCommand())
 	root.AddCommand(env.Extra...)
 	root.SetArgs(args)
 	root.SetOut(env.Out)
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -77,6 +77,9 @@
 	for _, z := range st.Outdated {
 		lines = append(lines, fmt.Sprintf("zone %s: has not reported since the store was restored from an older copy", z))
 	}
+	for _, e := range st.Evacuations {
+		lines = append(lines, evacuationLine(e, st.Current))
+	}
 	t.print(st, lines...)
 	if !st.InForce {
 		return refused{errors.New("the current revision is not in force in every zone")}
--- a/internal/operator/state.go
+++ b/internal/operator/state.go
@@ -37,6 +37,8 @@
 	// Outdated are zones with instances whose status was written before the store was restored
 	// from an older copy, or got lost by it. Their leaders write it again within seconds.
 	Outdated []string `json:"outdated,omitempty"`
+	// Evacuations are the zones whose targets are to get no new flows.
+	Evacuations []Evacuation `json:"evacuations,omitempty"`
 	// InForce tells whether the current revision is in force in every zone.
 	InForce bool `json:"in_force"`
 	// expected lists the zones that have instances in the platform's list or targets in
@@ -57,6 +59,9 @@
 	if err := st.readZones(ctx, s); err != nil {
 		return nil, err
 	}
+	if st.Evacuations, err = readEvacuations(ctx, s); err != nil {
+		return nil, err
+	}
 	instances, err := s.Instances(ctx)
 	if err != nil {
 		return nil, errors.Wrap(err, "read list of instances")
@@ -125,3 +130,6 @@
 		version: o.Version, manifest: m, header: h,
 	}, nil
 }
+
+// Zones returns the zones that the current bundle names.
+func (c *Current) Zones() []string { return c.header.Zones }
