guavaloomd: no requests to the targets of an evacuated zone

Cause: guavaloomd ignored the requests that guavaloom evacuate stores.

Change: the leader of a zone watches evacuations/ and drains the targets of request services while the zone is requested; the zone table carries the state to the others. A new leader takes it over from the table before it has read the store. Flow services are left alone: a trial that drained them too had no effect on new flows, since the steering uses draining targets if there are no others, and it pinned flows. docs/design/evacuation.md, section 7, lists what is missing.

--- a/internal/cli/evacuate.go
+++ b/internal/cli/evacuate.go
@@ -22,10 +22,10 @@
 func (t *tool) evacuateCommand() *cobra.Command {
 	var f evacuateFlags
 	cmd := &cobra.Command{
-		Use: "evacuate ZONE", Short: "Request that the targets of a zone get no new flows, or withdraw the request", Args: cobra.ExactArgs(1),
-		Long: "Requests that the targets of a zone of the current bundle get no new flows, or withdraws the request.\n" +
-			"The request is stored as evacuations/ZONE in the object API. guavaloomd does not read it yet: there, drain the\n" +
-			"zone's targets in a bundle (docs/design/evacuation.md, section 7).",
+		Use: "evacuate ZONE", Short: "Request that the targets of a zone get no new work, or withdraw the request", Args: cobra.ExactArgs(1),
+		Long: "Requests that the targets of a zone of the current bundle get no new work, or withdraws the request.\n" +
+			"The request is stored as evacuations/ZONE in the object API. guavaloomd applies it to requests; new flows\n" +
+			"still go to the zone (docs/design/evacuation.md, section 7).",
 		RunE: func(c *cobra.Command, args []string) error { return t.evacuate(c.Context(), args[0], f) },
 	}
 	cmd.Flags().StringVar(&f.settings, "settings", "guavaloom.ini", "operator settings")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -232,6 +232,7 @@
 		loopComponent("tables", func(ctx context.Context) error { return d.installs.run(ctx, d) }),
 		loopComponent("request", func(ctx context.Context) error { <-ctx.Done(); d.request.Close(); return nil }),
 		periodicComponent("health", healthTick, d.health.tick),
+		loopComponent("evacuations", d.health.watchEvacuations),
 		periodicComponent("zone", zoneTick, func(context.Context) { d.zone.tick(); d.secrets.tick(d.now()) }),
 		periodicComponent("pins", pinTick, func(context.Context) { d.tickPins(d.now()) }),
 		periodicComponent("rollout", rolloutTick, func(context.Context) { d.rollout.tick() }),
--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -219,3 +219,50 @@
 	_, err = DecodeReport([]byte{0xff})
 	must.Error(t, err)
 }
+
+// Guards against targets of an evacuated zone that stay active, against an evacuation that changes
+// what is known of the targets, and against a new leader that ends it before it has read the
+// requests.
+func TestEvacuatedZoneDrains(t *testing.T) {
+	f := newFixture(3, 4)
+	f.service.Kind = service.Request
+	f.service.Targets[0].Drain = true
+	f.setBundle(2)
+	f.run(20 * time.Second)
+	states := func() (draining, active int) {
+		for _, d := range f.Desired(f.now).Services[0].Targets {
+			switch d.State {
+			case target.Draining:
+				draining++
+			case target.Active:
+				active++
+			}
+		}
+		return draining, active
+	}
+	table := func() *zone.Table {
+		st := zone.ServiceTable{Service: f.service}
+		for _, d := range f.Desired(f.now).Services[0].Targets {
+			st.Targets = append(st.Targets, zone.TargetEntry{Target: d.Target, State: d.State})
+		}
+		// An entry that the bundle no longer lists drains until no pin refers to it.
+		st.Targets = append(st.Targets, zone.TargetEntry{Target: target.Target{ID: "dropped"}, State: target.Draining})
+		return &zone.Table{Services: []zone.ServiceTable{st}}
+	}
+	f.Resume(f.now, table())
+	must.False(t, f.Evacuated())
+	must.True(t, f.SetEvacuated(true))
+	must.False(t, f.SetEvacuated(true))
+	draining, _ := states()
+	must.Eq(t, 4, draining)
+
+	evacuated := table()
+	must.True(t, f.SetEvacuated(false))
+	draining, active := states()
+	must.Eq(t, 1, draining)
+	must.Eq(t, 3, active)
+	f.Resume(f.now, evacuated)
+	must.True(t, f.Evacuated())
+	draining, _ = states()
+	must.Eq(t, 4, draining)
+}
--- a/internal/health/merger.go
+++ b/internal/health/merger.go
@@ -37,6 +37,7 @@
 	zone       string
 	targets    map[Key]*targetState
 	bundleSeen bool // targets added after the first bundle ramp up
+	evacuated  bool // the zone's targets get no new requests
 }
 
 // targetState is what the merger knows about one target.
@@ -88,9 +89,44 @@
 	return &targetState{probers: make(map[instance.ID]receivedObservation), passive: make(map[instance.ID]receivedObservation), rampStart: now, fullWeight: !ramp, loadChangedAt: -loadCorrectionInterval}
 }
 
-// Resume restores the ejections from the zone table on a new leader and restarts the
-// ramps of joining targets.
+// SetEvacuated sets whether an operator evacuates the zone, and reports whether that is a change.
+// The targets of request services then drain. Those of flow services don't: the steering uses
+// draining targets if a service has no others.
+func (m *Merger) SetEvacuated(evacuated bool) (changed bool) {
+	changed = m.evacuated != evacuated
+	m.evacuated = evacuated
+	return changed
+}
+
+// Evacuated reports whether the zone is evacuated.
+func (m *Merger) Evacuated() bool { return m.evacuated }
+
+// evacuatedIn reports whether the zone is evacuated in a table: all targets of request services
+// drain, some of them though the bundle does not drain them.
+func (m *Merger) evacuatedIn(t *zone.Table) bool {
+	undrained := false
+	for i := range t.Services {
+		s := &t.Services[i]
+		if s.Service.Kind != service.Request {
+			continue
+		}
+		for _, e := range s.Targets {
+			if e.Removed || m.targets[Key{s.Service.ID, e.Target.ID}] == nil {
+				continue
+			}
+			if e.State != target.Draining {
+				return false
+			}
+			undrained = undrained || !e.Target.Drain
+		}
+	}
+	return undrained
+}
+
+// Resume restores the ejections and the evacuation from the zone table on a new leader and
+// restarts the ramps of joining targets.
 func (m *Merger) Resume(now time.Duration, t *zone.Table) {
+	m.evacuated = m.evacuatedIn(t)
 	for i := range t.Services {
 		s := &t.Services[i]
 		for _, e := range s.Targets {
@@ -152,7 +188,7 @@
 		w := zone.DesiredTarget{Target: t}
 		j := m.targets[Key{s.ID, t.ID}]
 		switch percent := j.rampPercent(now, s.ColdStart); {
-		case t.Drain:
+		case t.Drain || m.evacuated && s.Kind == service.Request:
 			w.State = target.Draining
 		case j.ejected:
 			w.State = target.Ejected
--- a/internal/operator/evacuate.go
+++ b/internal/operator/evacuate.go
@@ -12,12 +12,10 @@
 
 	"guavaloom.example/guavaloom/internal/inifile"
 	"guavaloom.example/guavaloom/internal/objectstore"
+	"guavaloom.example/guavaloom/internal/rollout"
 )
 
-// EvacuationPrefix, followed by a zone's name, is the key of the request to evacuate the zone.
-const EvacuationPrefix = "evacuations/"
-
-// Evacuation is a request, as recorded in the store, that the targets of a zone get no new flows.
+// Evacuation is a request, as recorded in the store, that the targets of a zone get no new work.
 type Evacuation struct {
 	Zone string `json:"zone"`
 	// Operator is who requested it last; empty if the object does not say.
@@ -35,7 +33,7 @@
 func newEvacuation(o objectstore.Object) Evacuation {
 	var v evacuationValue
 	_ = json.Unmarshal(o.Value, &v) // written by another tool: the operator is not known
-	return Evacuation{Zone: strings.TrimPrefix(o.Key, EvacuationPrefix), Operator: v.Operator, Version: o.Version.String(), version: o.Version}
+	return Evacuation{Zone: strings.TrimPrefix(o.Key, rollout.EvacuationPrefix), Operator: v.Operator, Version: o.Version.String(), version: o.Version}
 }
 
 // UnknownZoneError means that the current bundle does not name a zone.
@@ -62,7 +60,7 @@
 	Pause func(ctx context.Context, d time.Duration) error
 }
 
-func (e *Evacuate) key() string { return EvacuationPrefix + e.Zone }
+func (e *Evacuate) key() string { return rollout.EvacuationPrefix + e.Zone }
 
 // Request writes the request and reports whether there was none before. It returns nil only
 // after the store has acknowledged a write: a read alone may be stale and show a request that
@@ -179,7 +177,7 @@
 
 // readEvacuations returns the requests in the store, ordered by zone.
 func readEvacuations(ctx context.Context, s objectstore.Store) ([]Evacuation, error) {
-	l, err := s.List(ctx, EvacuationPrefix)
+	l, err := s.List(ctx, rollout.EvacuationPrefix)
 	if err != nil {
 		return nil, errors.Wrap(err, "read evacuations")
 	}
--- a/internal/operator/evacuate_test.go
+++ b/internal/operator/evacuate_test.go
@@ -10,6 +10,7 @@
 
 	"guavaloom.example/guavaloom/internal/objectstore"
 	"guavaloom.example/guavaloom/internal/objectstore/standin"
+	"guavaloom.example/guavaloom/internal/rollout"
 )
 
 // beforeChange calls do once, ahead of the next change of an object.
@@ -216,7 +217,7 @@
 		_, err = e.Withdraw(ctx)
 		must.True(t, errors.As(err, &unknown), must.Sprint(zone))
 	}
-	_, err := s.Memory.Put(ctx, EvacuationPrefix+"zone-1", []byte("{}"), 0)
+	_, err := s.Memory.Put(ctx, rollout.EvacuationPrefix+"zone-1", []byte("{}"), 0)
 	must.NoError(t, err)
 	e := evacuate(s, "a")
 	e.Zone = "zone-1"
--- a/internal/operator/state.go
+++ b/internal/operator/state.go
@@ -37,7 +37,7 @@
 	// Outdated are zones with instances whose status was written before the store was restored
 	// from an older copy, or got lost by it. Their leaders write it again within seconds.
 	Outdated []string `json:"outdated,omitempty"`
-	// Evacuations are the zones whose targets are to get no new flows.
+	// Evacuations are the zones whose targets are to get no new work.
 	Evacuations []Evacuation `json:"evacuations,omitempty"`
 	// InForce tells whether the current revision is in force in every zone.
 	InForce bool `json:"in_force"`
--- a/internal/rollout/reader.go
+++ b/internal/rollout/reader.go
@@ -22,6 +22,8 @@
 	PartPrefix = "part/"
 	// StatusPrefix, followed by a zone's name, is the key of the zone's Status.
 	StatusPrefix = "status/"
+	// EvacuationPrefix, followed by a zone's name, is the key of the request to evacuate it.
+	EvacuationPrefix = "evacuations/"
 )
 
 // PartKey returns the key of a part.
