edge: test of the margin of the evacuation bound

Cause: no test checked that the derived times keep evacuation_bound_ms.

Change: a test for bounds of 300 ms to a minute.

--- a/internal/edge/evacuation_restore_test.go
+++ b/internal/edge/evacuation_restore_test.go
@@ -97,3 +97,18 @@
 	i.applyListing(i.now(), "evacuations", storeSource, evacuationList(t, 1, 4, false), true)
 	must.True(t, i.viewConfirmed())
 }
+
+// Guards against derived times with which an evacuation, learned from another data centre at the
+// last moment, and a retransmission after it don't leave a tenth of the bound for packets on the
+// way.
+func TestTimingKeepsTheEvacuationBound(t *testing.T) {
+	for _, bound := range []time.Duration{300 * time.Millisecond, time.Second, 5 * time.Second, time.Minute} {
+		d := deployment(func(d *Deployment) { d.EvacuationBound = bound })
+		x := d.Timing()
+		known := x.PeerQueryAfter + x.PeerQueryInterval + x.PeerQueryTimeout
+		must.LessEq(t, bound*8/10, known, must.Sprint(bound))
+		must.LessEq(t, bound/10, x.Forwarding.EvacuationRepeat, must.Sprint(bound))
+		must.LessEq(t, d.ConfigBound*8/10, known, must.Sprint(bound))
+	}
+	must.Eq(t, DefaultDeployment().Timing().Coalesce, deployment(func(d *Deployment) { d.EvacuationBound = time.Minute }).Timing().Coalesce)
+}
