--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -48,9 +48,11 @@
 	t          *testing.T
 	store      *standin.Store
 	packetPort uint16
-	// pace enables the pacing of targets in instances that start.
+	// pace enables the pacing of targets, deployment and regions are further settings of the
+	// instances that are started next.
 	pace       bool
 	deployment edge.Deployment
+	regions    map[string]string
 }
 
 func newSite(t *testing.T) *testSite {
@@ -90,17 +92,22 @@
 	return true
 }
 
-// target starts and registers a target.
+// target starts and registers a target in data centre "a".
 func (s *testSite) target(id string, key uint64) *standin.Target {
 	s.t.Helper()
-	return s.coldTarget(id, key, 0)
+	return s.targetIn("a", id, key, 0)
 }
 
 // coldTarget starts and registers a target that is cold for some time.
 func (s *testSite) coldTarget(id string, key uint64, warmUp time.Duration) *standin.Target {
+	s.t.Helper()
+	return s.targetIn("a", id, key, warmUp)
+}
+
+func (s *testSite) targetIn(zone, id string, key uint64, warmUp time.Duration) *standin.Target {
 	s.t.Helper()
 	tg, err := standin.NewTarget(standin.TargetConfig{
-		ID: id, Service: "booking", Zone: "a", Key: key, PacketPort: s.packetPort, Listen: netip.MustParseAddrPort("127.0.0.1:0"),
+		ID: id, Service: "booking", Zone: zone, Key: key, PacketPort: s.packetPort, Listen: netip.MustParseAddrPort("127.0.0.1:0"),
 		WarmUp: warmUp,
 	})
 	must.NoError(s.t, err)
@@ -150,7 +157,8 @@
 	at := func() netip.AddrPort { return netip.AddrPortFrom(ip, freePort(s.t)) }
 	set := &edge.Settings{
 		Name: fmt.Sprintf("instance-%d", n), Zone: "a", Packet: netip.AddrPortFrom(ip, s.packetPort),
-		Ready: at(), Peer: at(), Admin: at(), Store: store, Seeds: seeds, MemoryMB: 128, Workers: 1, Deployment: s.deployment,
+		Ready: at(), Peer: at(), Admin: at(), Store: store, Seeds: seeds, MemoryMB: 128, Workers: 1,
+		Deployment: s.deployment, Regions: s.regions,
 		Pace: s.pace,
 	}
 	change(set)
--- a/internal/edge/telemetry.go
+++ b/internal/edge/telemetry.go
@@ -116,6 +116,8 @@
 	overload     map[overloadOutcome]metrics.Counter
 	fullServices metrics.GaugeFloat64
 	cold         coldCounters
+	// placedElsewhere and refused count the new flows that an evacuation affected.
+	placedElsewhere, refused metrics.Counter
 }
 
 type outcome struct {
@@ -132,6 +134,9 @@
 		configAge: s.Histogram(metric.EdgeUsedViewAge, "config"),
 		targetAge: s.Histogram(metric.EdgeUsedViewAge, "targets"),
 		cold:      newColdCounters(s),
+
+		placedElsewhere: s.Counter(metric.EdgeEvacuated, "placed_elsewhere"),
+		refused:         s.Counter(metric.EdgeEvacuated, "refused"),
 	}
 	c.overload, c.fullServices = map[overloadOutcome]metrics.Counter{}, s.Gauge(metric.EdgeFullServices, "")
 	for _, span := range []forwarding.Span{forwarding.Opening, forwarding.FirstData, forwarding.FirstAnswer, forwarding.Answer} {
@@ -151,6 +156,12 @@
 	}
 	counter.Inc(1)
 	c.cold.count(&d)
+	switch {
+	case d.LocalEvacuated:
+		c.placedElsewhere.Inc(1)
+	case d.Verdict == forwarding.Reset && d.Reason == forwarding.Evacuated:
+		c.refused.Inc(1)
+	}
 }
 
 // observer writes the forwarder's events to the log and the metrics.
--- a/internal/explain/edge.go
+++ b/internal/explain/edge.go
@@ -14,11 +14,23 @@
 	// from another instance.
 	ReadsStore bool `json:"reads_store"`
 	// ZoneInstances is the number of registered instances of the data centre, this one included.
-	ZoneInstances int            `json:"zone_instances"`
-	Config        uint64         `json:"config_version"`
-	Flows         int            `json:"flows"`
-	Kinds         []KindStatus   `json:"kinds"`
-	Targets       []TargetStatus `json:"targets"`
+	ZoneInstances int          `json:"zone_instances"`
+	Config        uint64       `json:"config_version"`
+	Flows         int          `json:"flows"`
+	Kinds         []KindStatus `json:"kinds"`
+	// Evacuations are the evacuated data centres that the instance knows, ordered by name.
+	Evacuations []EvacuationStatus `json:"evacuations"`
+	Targets     []TargetStatus     `json:"targets"`
+}
+
+// EvacuationStatus is an operator's request to evacuate a data centre, as known to an instance.
+type EvacuationStatus struct {
+	Zone string `json:"zone"`
+	// SinceMillis is the time since the instance learned of the request.
+	SinceMillis int64 `json:"since_ms"`
+	// Version and Epoch are the store's version of the request.
+	Version uint64 `json:"version"`
+	Epoch   uint64 `json:"store_epoch"`
 }
 
 // KindStatus is the state of the replica of one kind of objects.
@@ -38,7 +50,7 @@
 	Target  string `json:"target"`
 	Service string `json:"service"`
 	Zone    string `json:"zone"`
-	// State is ready, draining, suspected, unreadable, removed or ended.
+	// State is ready, draining, evacuated, suspected, unreadable, removed or ended.
 	State string `json:"state"`
 	// Open is the number of flows and Busy the number of requests in flight.
 	Open          int   `json:"open"`
--- a/internal/metric/names.go
+++ b/internal/metric/names.go
@@ -56,5 +56,6 @@
 	EdgeOverload      = Declaration{"guavaloom_edge_overload_total", "flows", "New flows of full services, by outcome (admitted, elsewhere or rejected), priority and kind of the route.", Counter, "class"}
 	EdgeFullServices  = Declaration{"guavaloom_edge_full_services", "services", "Services whose targets in the own data centre are full.", Gauge, ""}
 	EdgeColdFlows     = Declaration{"guavaloom_edge_cold_flows_total", "flows", "Flows affected by the allowance of cold targets: held_back from a cold target and placed elsewhere, or refused.", Counter, "outcome"}
+	EdgeEvacuated     = Declaration{"guavaloom_edge_evacuated_flows_total", "flows", "New flows placed elsewhere because the instance's own data centre is evacuated, and new flows refused because of an evacuation, by outcome.", Counter, "outcome"}
 	EdgeUnreadable    = Declaration{"guavaloom_edge_unreadable_total", "entries", "Entries of the store that could not be read, by kind.", Counter, "kind"}
 )
