--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -159,11 +159,12 @@
 		name: fmt.Sprintf("instance-%d", n), packet: netip.AddrPortFrom(ip, packetPort), ready: port(ip),
 		program: program, store: store, file: filepath.Join(dir, fmt.Sprintf("instance-%d.ini", n)),
 	}
-	peer := netip.AddrPortFrom(ip, peerPort(packetPort))
+	peer, reports := netip.AddrPortFrom(ip, peerPort(packetPort)), netip.AddrPortFrom(ip, reportsPort(packetPort))
 	i.admin = port(ip)
 	var b bytes.Buffer
-	_, _ = fmt.Fprintf(&b, "[instance]\nname = %s\nzone = %s\n[listen]\npacket = %s\nready = %s\npeer = %s\nadmin = %s\n",
-		i.name, zone, i.packet, i.ready, peer, i.admin)
+	_, _ = fmt.Fprintf(&b, "[instance]\nname = %s\nzone = %s\n[listen]\npacket = %s\nready = %s\npeer = %s\nadmin = %s\nreports = %s\n",
+		i.name, zone, i.packet, i.ready, peer, i.admin, reports)
+	_, _ = fmt.Fprintf(&b, "[balancing]\npace = on\noverload = on\n")
 	_, _ = fmt.Fprintf(&b, "[store]\naddress = %s\n[peers]\nseeds = %s\n%s", store.addr(), strings.Join(seeds, ","), deployment)
 	if err := os.WriteFile(i.file, b.Bytes(), 0o600); err != nil {
 		return nil, err
@@ -173,5 +174,7 @@
 	return i, err
 }
 
-// peerPort is the port at which all instances serve each other.
-func peerPort(packetPort uint16) uint16 { return packetPort + 1 }
+// peerPort is the port at which all instances serve each other, reportsPort the one at which they
+// receive reports about targets.
+func peerPort(packetPort uint16) uint16    { return packetPort + 1 }
+func reportsPort(packetPort uint16) uint16 { return packetPort + 2 }
