peer: a stop also ends connections that begin HTTP/2 during it

Cause: http.Server.Shutdown sends GOAWAY once, on the connections on which HTTP/2 has begun by then. A connection that was accepted just before and begins HTTP/2 later is not told; net/http counts every HTTP/2 connection as active until it is closed, and without an exchange nothing ends it before the idle timeout of 180 s. Such connections come from calls that end while net/http dials for them: the dial goes on, and the connection stays in the pool of the client without an exchange.

Ruled out: an exchange that a handler keeps open (the state is idle, and request.Server refuses calls by then), a connection on which nothing was sent (net/http closes it after 6 s at most), connections begun before Close (GOAWAY closes them within 1 s).

Change: Close calls Shutdown again every 500 ms, which sends GOAWAY on the connections begun meanwhile.

--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -26,6 +26,8 @@
 	exchangeTimeout = 2 * time.Second
 	// reloadInterval is the polling interval for changes of the TLS files.
 	reloadInterval = 5 * time.Second
+	// shutdownInterval is the interval at which Close announces its end again.
+	shutdownInterval = 500 * time.Millisecond
 )
 
 // Errors of Send and Call.
@@ -160,7 +162,7 @@
 	t.closed = true
 	t.mu.Unlock()
 	t.cancel()
-	err := t.server.Shutdown(ctx)
+	err := t.shutdown(ctx)
 	if err != nil {
 		err = errors.Wrapf(err, "connections still open: %s", &t.conns)
 		err = errors.Join(err, t.server.Close())
@@ -175,6 +177,20 @@
 	return err
 }
 
+// shutdown stops the server gracefully. One call of http.Server.Shutdown sends GOAWAY only
+// on the connections on which HTTP/2 has begun. On those accepted shortly before it, HTTP/2
+// begins later; without an exchange they would stay open until the idle timeout.
+func (t *Transport) shutdown(ctx context.Context) error {
+	for {
+		round, cancel := context.WithTimeout(ctx, shutdownInterval)
+		err := t.server.Shutdown(round)
+		cancel()
+		if ctx.Err() != nil || !errors.Is(err, context.DeadlineExceeded) {
+			return err
+		}
+	}
+}
+
 func (t *Transport) countDropped(reason string, n int) {
 	t.cfg.Metrics.Counter(metric.PeerDropped, reason).Inc(int64(n))
 }
