peer: an exchange whose context has ended is not repeated

Cause: net/http repeats a request over HTTP/2 after the peer has announced the end of the connection (GOAWAY). Before that it waits for the first try, but not beyond the end of the context.

Ruled out: a race of connect's body, whose reads and Rewind are locked; a race while the context lasts, because the first try has ended then; leaving GetBody unset, which would also lose the repetitions that are safe (GOAWAY, refused stream, connection closed before use), whose errors net/http does not export.

Change: the HTTP client of a link gets GetBody from a wrapper that returns the error of the context once it has ended. net/http then gives up before rewindBody. Repetitions within the context are as before.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -57,6 +57,7 @@
 // client is an HTTP client with its own connection.
 type client struct {
 	transport *http.Transport
+	http      *http.Client
 	connect   *connect.Client[exchange, exchange]
 }
 
@@ -83,13 +84,14 @@
 		DisableCompression: true,
 		HTTP2:              &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 	}
+	httpClient := &http.Client{Transport: rewinder{transport}, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 	c := connect.NewClient[exchange, exchange](
-		&http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }},
+		httpClient,
 		scheme+l.to.Control.String()+procedure,
 		connect.WithCodec(codec{}),
 		connect.WithAcceptCompression("gzip", nil, nil), // messages are small or already compressed
 		connect.WithReadMaxBytes(MaxMessage), connect.WithSendMaxBytes(MaxMessage))
-	return &client{transport: transport, connect: c}
+	return &client{transport: transport, http: httpClient, connect: c}
 }
 
 func (l *link) dial(ctx context.Context, network, addr string) (net.Conn, error) {
