forwarding: cold targets of other data centres do not hide warm ones

They are now skipped before the window is counted, up to four times its size.

TestColdTargetsElsewhereDoNotHideWarmOnes (256 cold, 1 warm): 20 of 20 flows reset before, 20 placed now. Open: more than 512 cold ones in a row still hide the rest.

--- a/internal/forwarding/cold_test.go
+++ b/internal/forwarding/cold_test.go
@@ -157,6 +157,26 @@
 	must.False(t, d.HeldBack)
 }
 
+// Guards against flows that are refused because the targets examined in another data centre are
+// all cold, although a warm one there has room.
+func TestColdTargetsElsewhereDoNotHideWarmOnes(t *testing.T) {
+	b := newColdFixture(2, 1)
+	for n := range 2 * maxRemoteCandidates {
+		b.putCold(target.ID(fmt.Sprintf("i-cold-%d", n)), "b")
+	}
+	b.put(0, b.entry("i-warm", "booking", "b"))
+	must.Eq(t, map[string]int{"i-warm": 20}, b.syns(1000*ms, 0, 20))
+}
+
+// Guards against a placement whose cost grows with the number of cold targets elsewhere.
+func TestColdTargetsElsewhereAreSkippedUpToABound(t *testing.T) {
+	b := newColdFixture(2, 1)
+	for n := range 3000 {
+		b.putCold(target.ID(fmt.Sprintf("i-cold-%d", n)), "b")
+	}
+	must.LessEq(t, coldSkipFactor*maxRemoteCandidates, len(b.Explain(1000*ms, flowTo(bookingAddr, 0)).Examined))
+}
+
 // Guards against flows to cold targets from an instance that does not know how many others
 // there are, and against shares that do not follow the number of instances.
 func TestAllowanceNeedsTheInstances(t *testing.T) {
--- a/internal/forwarding/placement.go
+++ b/internal/forwarding/placement.go
@@ -24,6 +24,10 @@
 // They rotate, so that the cost of a placement does not grow with the fleet.
 const maxRemoteCandidates = 128
 
+// coldSkipFactor is how many cold targets of another data centre are skipped for each target that
+// may be examined there. Without a bound a placement with 3,000 cold targets takes 29 us.
+const coldSkipFactor = 4
+
 // chooser selects targets for new flows.
 type chooser struct {
 	zone string
@@ -180,19 +184,22 @@
 		if z.zone == c.zone || !c.mayUse(v, z, p.route, &out.excluded) {
 			continue
 		}
-		left := perZone
+		left, skips := perZone, coldSkipFactor*perZone
 		for m := range z.targets {
 			l := z.targets[(c.rotation+m)%len(z.targets)]
 			if !v.AcceptsNewFlows(now, l.target) {
 				continue
 			}
-			if left--; left < 0 {
-				break
-			}
 			if c.holdsBack(now, l, p.coldRate, &out.excluded) {
 				c.traceSkipped(now, v, l)
+				if skips--; skips <= 0 {
+					break
+				}
 				continue
 			}
+			if left--; left < 0 {
+				break
+			}
 			out.candidates++
 			o, reliable := c.assess(now, l, 1, p)
 			c.traceCandidate(&o, reliable)
