--- a/internal/forwarding/explain_test.go
+++ b/internal/forwarding/explain_test.go
@@ -33,6 +33,19 @@
 	}
 }
 
+// Guards against an explanation that changes how the next flow is paced.
+func TestExplanationKeepsThePacing(t *testing.T) {
+	b := pacedFixture(3, "a")
+	for n := range 5 {
+		f := flowTo(bookingAddr, n)
+		b.accept(time.Second, f, b.syn(time.Second, f, 0)) // open and idle
+	}
+	z := b.services["booking"].zone("a")
+	before := z.pacing
+	b.Explain(2*time.Second, flowTo(bookingAddr, 100))
+	must.Eq(t, []any{before.earned, before.targets, before.meanIdle}, []any{z.pacing.earned, z.pacing.targets, z.pacing.meanIdle})
+}
+
 // Guards against an explanation that hides why nothing can be chosen.
 func TestExplanationOfRejections(t *testing.T) {
 	b := newFixture()
