edge, forwarding: a first packet held for 200 ms is not rejected

An instance that has just started holds packets until its view is complete, and has no share of cold targets for 2 s more. Held first packets are now dropped from 200 ms on; the original rejection is kept as the reason.

TestHeldFirstPacketIsDropped fails without the rule (reset at 200 ms). go test -p 2 ./internal/edge ./internal/forwarding pass.

--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -120,7 +120,7 @@
 	// lastPacketAt is when the last packet arrived.
 	lastPacketAt time.Duration
 	// heldPackets are packets that arrived before the view was complete.
-	heldPackets [][]byte
+	heldPackets []heldPacket
 	stopping    bool
 	// confirmed means that the view has matched the store's current state at least once.
 	confirmed bool
--- a/internal/edge/packets.go
+++ b/internal/edge/packets.go
@@ -22,7 +22,7 @@
 		i.lastPacketAt = now
 	}
 	for _, d := range b.In {
-		i.handlePacket(now, d.Data, func(to netip.AddrPort, header, body []byte) { b.Send(to, header, body) }, header[:])
+		i.handlePacket(now, now, d.Data, func(to netip.AddrPort, header, body []byte) { b.Send(to, header, body) }, header[:])
 	}
 }
 
@@ -30,19 +30,25 @@
 // less than 1 MB.
 const maxHeldPackets = 512
 
-// handlePacket applies the forwarder's decision to one packet. header is a buffer of
-// forwarding.MaxHeader bytes.
-func (i *Instance) handlePacket(now time.Duration, data []byte, send func(to netip.AddrPort, header, body []byte), header []byte) {
+// heldPacket is a packet that arrived before the view was complete.
+type heldPacket struct {
+	data []byte
+	at   time.Duration
+}
+
+// handlePacket applies the forwarder's decision to a packet that has been here since the given
+// time. header is a buffer of forwarding.MaxHeader bytes.
+func (i *Instance) handlePacket(now, since time.Duration, data []byte, send func(to netip.AddrPort, header, body []byte), header []byte) {
 	defer i.recoverPanic("packet")
 	seg, ok := i.platform.Codec.Decode(data)
 	if !ok {
 		i.counters.count(forwarding.Decision{Reason: forwarding.Malformed})
 		return
 	}
-	decision := i.forward.Handle(now, &seg)
+	decision := i.forward.HandleHeld(now, since, &seg)
 	if decision.Verdict == forwarding.Hold {
 		if len(i.heldPackets) < maxHeldPackets {
-			i.heldPackets = append(i.heldPackets, bytes.Clone(data))
+			i.heldPackets = append(i.heldPackets, heldPacket{bytes.Clone(data), since})
 		} else {
 			decision.Verdict = forwarding.Drop
 		}
@@ -67,8 +73,8 @@
 	}
 	var header [forwarding.MaxHeader]byte
 	var out []byte
-	for _, data := range i.heldPackets {
-		i.handlePacket(now, data, func(to netip.AddrPort, header, body []byte) {
+	for _, held := range i.heldPackets {
+		i.handlePacket(now, held.at, held.data, func(to netip.AddrPort, header, body []byte) {
 			out = append(append(out[:0], header...), body...)
 			i.write(out, to)
 		}, header[:])
--- a/internal/edge/recover_test.go
+++ b/internal/edge/recover_test.go
@@ -60,8 +60,8 @@
 	var out bytes.Buffer
 	i := newTestInstance(t, &out)
 	send := func(netip.AddrPort, []byte, []byte) {}
-	i.handlePacket(0, []byte("bad packet"), send, nil)
-	i.handlePacket(0, []byte("other"), send, nil)
+	i.handlePacket(0, 0, []byte("bad packet"), send, nil)
+	i.handlePacket(0, 0, []byte("other"), send, nil)
 	i.applyListing(0, "targets", storeSource, objectstore.Listing{Version: 9, Objects: []objectstore.Object{
 		{Key: "targets/i-0", Version: 1, Value: []byte("bad entry")}, {Key: "targets/i-1", Version: 2, Value: []byte("good")},
 	}}, true)
--- a/internal/forwarding/cold_test.go
+++ b/internal/forwarding/cold_test.go
@@ -86,6 +86,18 @@
 	must.False(t, ok)
 }
 
+// Guards against a reset of a flow that is open through another instance: its first packet was held
+// here until the view was complete, and the client retransmitted it.
+func TestHeldFirstPacketIsDropped(t *testing.T) {
+	for held, want := range map[time.Duration]Verdict{0: Reset, 199 * ms: Reset, 200 * ms: Drop, time.Second: Drop} {
+		b := newColdFixture(1, 0) // no share yet, as after the start
+		b.putCold("i-1", "a")
+		b.Tick(1500 * ms) // without it, the time until the packet is a stall
+		d := b.HandleHeld(2*time.Second, 2*time.Second-held, &Segment{Flow: flowTo(bookingAddr, 0), SYN: true, Seq: 100})
+		must.Eq(t, Decision{Verdict: want, Reason: Cold, Route: d.Route}, d, must.Sprint(held))
+	}
+}
+
 // Guards against a retransmitted first packet that is reset, although its original may have
 // opened the flow through another instance.
 func TestColdRetransmissionIsDropped(t *testing.T) {
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -217,6 +217,17 @@
 	return f.handleLater(now, s)
 }
 
+// HandleHeld decides on a packet that was held since the given time. A first packet that its
+// client may have retransmitted meanwhile is not rejected: its flow may be open through another
+// instance.
+func (f *Forwarder) HandleHeld(now, since time.Duration, s *Segment) Decision {
+	d := f.Handle(now, s)
+	if s.SYN && d.Verdict == Reset && now >= since+minRetransmitInterval {
+		d.Verdict = Drop
+	}
+	return d
+}
+
 // detectStall records the end of a stall of this process.
 func (f *Forwarder) detectStall(now time.Duration) {
 	if now-f.lastActivityAt > stallThreshold {
