edge: zones in the settings: spaces around names, no data centre twice

A space around "=" became part of the name, and of two regions of a data centre the last one won: the targets there were then no home of any route, or could not be evacuated, without a message. Spaces are now removed and a second region is a mistake that the start reports. TestZoneSettings fails without the change for both.

--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -167,9 +167,10 @@
 			if part = strings.TrimSpace(part); part == "" {
 				continue
 			}
-			zone, region, ok := strings.Cut(part, "=")
-			if !ok || zone == "" || region == "" {
-				return fmt.Sprintf("bad data centre %q, allowed is ZONE=REGION", part)
+			zone, region, _ := strings.Cut(part, "=")
+			zone, region = strings.TrimSpace(zone), strings.TrimSpace(region)
+			if _, again := all[zone]; again || zone == "" || region == "" {
+				return fmt.Sprintf("bad data centre %q, allowed is ZONE=REGION, once for each", part)
 			}
 			all[zone] = region
 		}
--- a/internal/edge/timing_test.go
+++ b/internal/edge/timing_test.go
@@ -105,6 +105,29 @@
 	}), s.Deployment)
 }
 
+// Guards against data centres whose names or regions differ from those of the entries by a space, and
+// against one with two regions: its targets would be no home, and could not be evacuated.
+func TestZoneSettings(t *testing.T) {
+	for value, want := range map[string]map[string]string{
+		"":                     {},
+		"a=north, b=south,":    {"a": "north", "b": "south"},
+		"a = north,b= south":   {"a": "north", "b": "south"},
+		"a=north,b":            nil,
+		"=north":               nil,
+		"a= ":                  nil,
+		"a=north,a=south":      nil,
+		"a=north,b=south,a=no": nil,
+	} {
+		s, err := parseSettings("f.ini", []byte(minimalSettings+"[deployment]\nzones = "+value+"\n"))
+		if want == nil {
+			must.ErrorContains(t, err, "[deployment] zones: bad data centre", must.Sprint(value))
+			continue
+		}
+		must.NoError(t, err, must.Sprint(value))
+		must.Eq(t, want, s.Regions, must.Sprint(value))
+	}
+}
+
 // Guards against the use of a bound that no instance can keep or that can't be parsed.
 func TestBadDeploymentSettings(t *testing.T) {
 	_, err := parseSettings("f.ini", []byte(minimalSettings+
