--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -113,7 +113,7 @@
 
 	mu      sync.Mutex // guards all below
 	forward *forwarding.Forwarder
-	// recent has the instances that share the allowance of cold targets, ownEntryAt is when this
+	// recent has the instances of this data centre that share the allowance of cold targets, ownEntryAt is when this
 	// instance first saw its own entry; valid if recent is not empty.
 	recent     recentInstances
 	ownEntryAt time.Duration
--- a/internal/forwarding/load.go
+++ b/internal/forwarding/load.go
@@ -178,7 +178,7 @@
 	// Late is how many local targets answered late if a flow was rejected as Overloaded.
 	// Busy is then the sum over those of the data centre.
 	Late int
-	// Pace is the pace of the target, 0 if it is not paced. Only Load sets it.
+	// Pace is the pace of the target, 0 if it is not paced. Only Load and Explain set it.
 	Pace float64
 }
 
--- a/internal/forwarding/segment.go
+++ b/internal/forwarding/segment.go
@@ -106,7 +106,7 @@
 	Overloaded Reason = "overloaded"
 	// LinkFull: the instance's own link has no room for the upload.
 	LinkFull Reason = "link_full"
-	// NotReady: the configuration or the targets have not been received yet.
+	// NotReady: the configuration, the targets or the evacuations have not been received yet.
 	NotReady Reason = "not_ready"
 	// TargetEnded: the flow's target has ended.
 	TargetEnded Reason = "target_ended"
