edge: packets are decided on with the time after the wait for the lock

A worker took the time before it waited for Instance.mu. On a small machine a worker that is not run, or waits behind another one, meanwhile passes packets with an earlier time, so that the sliding second of a cold target's allowance counted them too early, and times of two workers went backwards.

--- a/internal/edge/packets.go
+++ b/internal/edge/packets.go
@@ -15,9 +15,9 @@
 // handlePackets handles the packets of a batch and queues the packets to send.
 func (i *Instance) handlePackets(b *packet.Batch) {
 	var header [forwarding.MaxHeader]byte
-	now := i.now()
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	now := i.now() // after the wait for the lock: packets leave after that
 	if len(b.In) > 0 {
 		i.lastPacketAt = now
 	}
--- a/internal/edge/recover_test.go
+++ b/internal/edge/recover_test.go
@@ -16,6 +16,7 @@
 	"guavaloom.example/guavaloom/internal/invariant"
 	"guavaloom.example/guavaloom/internal/logfield"
 	"guavaloom.example/guavaloom/internal/objectstore"
+	"guavaloom.example/guavaloom/internal/packet"
 	"guavaloom.example/guavaloom/internal/targetreport"
 	"guavaloom.example/guavaloom/internal/view"
 )
@@ -54,6 +55,23 @@
 	return New(s, p, logger)
 }
 
+// Guards against packets that are decided on with a time before the wait for the lock: a cold target
+// would get them later than its sliding second counts them.
+func TestTimeOfPacketsIsThatOfTheirDecision(t *testing.T) {
+	i := newTestInstance(t, &bytes.Buffer{})
+	i.mu.Lock()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		i.handlePackets(&packet.Batch{In: []packet.Datagram{{Data: []byte("other")}}})
+	}()
+	time.Sleep(50 * time.Millisecond) // until it waits; if it is later, the test finds nothing
+	unlocked := i.now()
+	i.mu.Unlock()
+	<-done
+	must.GreaterEq(t, unlocked, i.lastPacketAt)
+}
+
 // Guards against a panic on one packet or entry that ends the process or loses other inputs.
 // A broken invariant must still end the process.
 func TestFailureOnOneInput(t *testing.T) {
