edge: a reload names that other settings need a restart

SIGHUP applies the seeds only. The log said "reload" for every other change too, so that an operator who added a data centre to [deployment] zones took it for known, while its evacuation had no effect. A change of other settings now has its own line. TestReloadTellsWhatNeedsARestart fails without it.

--- a/internal/edge/recover_test.go
+++ b/internal/edge/recover_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -55,6 +56,22 @@
 	return New(s, p, logger)
 }
 
+// Guards against an operator who takes new settings for applied, as the data centres of the
+// deployment, although only the seeds are.
+func TestReloadTellsWhatNeedsARestart(t *testing.T) {
+	for change, want := range map[string]bool{"": false, "[peers]\nseeds = 127.0.0.1:9\n": false, "[deployment]\nzones = a=north\n": true} {
+		var out bytes.Buffer
+		i := newTestInstance(t, &out)
+		s, err := parseSettings("f.ini", []byte(minimalSettings))
+		must.NoError(t, err)
+		i.settings = s
+		i.reload("f.ini", []byte(minimalSettings+change), true)
+		i.log.Flush()
+		must.Eq(t, want, strings.Contains(out.String(), "settings changed that apply at the next start"), must.Sprint(change))
+		must.StrContains(t, out.String(), `"reload"`)
+	}
+}
+
 // Guards against packets that are decided on with a time before the wait for the lock: a cold target
 // would get them later than its sliding second counts them.
 func TestTimeOfPacketsIsThatOfTheirDecision(t *testing.T) {
--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"os"
+	"reflect"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -81,4 +82,7 @@
 	}
 	i.registry.setSeeds(s.Seeds)
 	i.log.Event(lifecycleClass, "reload", fields)
+	if s.Seeds = i.settings.Seeds; !reflect.DeepEqual(s, i.settings) {
+		i.log.Event(lifecycleClass, "settings changed that apply at the next start", logrus.Fields{logfield.File: file})
+	}
 }
