--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -113,14 +113,14 @@
 
 	mu      sync.Mutex // guards all below
 	forward *forwarding.Forwarder
-	// recent has the instances that share the allowance of cold targets, ownEntryAt is when this
+	// recent has the instances of this data centre that share the allowance of cold targets, ownEntryAt is when this
 	// instance first saw its own entry; valid if recent is not empty.
 	recent     recentInstances
 	ownEntryAt time.Duration
 	// lastPacketAt is when the last packet arrived.
 	lastPacketAt time.Duration
 	// heldPackets are packets that arrived before the view was complete.
-	heldPackets [][]byte
+	heldPackets []heldPacket
 	stopping    bool
 	// confirmed means that the view has matched the store's current state at least once.
 	confirmed bool
--- a/internal/edge/recover_test.go
+++ b/internal/edge/recover_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 	"guavaloom.example/guavaloom/internal/invariant"
 	"guavaloom.example/guavaloom/internal/logfield"
 	"guavaloom.example/guavaloom/internal/objectstore"
+	"guavaloom.example/guavaloom/internal/packet"
 	"guavaloom.example/guavaloom/internal/targetreport"
 	"guavaloom.example/guavaloom/internal/view"
 )
@@ -54,14 +56,47 @@
 	return New(s, p, logger)
 }
 
+// Guards against an operator who takes new settings for applied, as the data centres of the
+// deployment, although only the seeds are.
+func TestReloadTellsWhatNeedsARestart(t *testing.T) {
+	for change, want := range map[string]bool{"": false, "[peers]\nseeds = 127.0.0.1:9\n": false, "[deployment]\nzones = a=north\n": true} {
+		var out bytes.Buffer
+		i := newTestInstance(t, &out)
+		s, err := parseSettings("f.ini", []byte(minimalSettings))
+		must.NoError(t, err)
+		i.settings = s
+		i.reload("f.ini", []byte(minimalSettings+change), true)
+		i.log.Flush()
+		must.Eq(t, want, strings.Contains(out.String(), "settings changed that apply at the next start"), must.Sprint(change))
+		must.StrContains(t, out.String(), `"reload"`)
+	}
+}
+
+// Guards against packets that are decided on with a time before the wait for the lock: a cold target
+// would get them later than its sliding second counts them.
+func TestTimeOfPacketsIsThatOfTheirDecision(t *testing.T) {
+	i := newTestInstance(t, &bytes.Buffer{})
+	i.mu.Lock()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		i.handlePackets(&packet.Batch{In: []packet.Datagram{{Data: []byte("other")}}})
+	}()
+	time.Sleep(50 * time.Millisecond) // until it waits; if it is later, the test finds nothing
+	unlocked := i.now()
+	i.mu.Unlock()
+	<-done
+	must.GreaterEq(t, unlocked, i.lastPacketAt)
+}
+
 // Guards against a panic on one packet or entry that ends the process or loses other inputs.
 // A broken invariant must still end the process.
 func TestFailureOnOneInput(t *testing.T) {
 	var out bytes.Buffer
 	i := newTestInstance(t, &out)
 	send := func(netip.AddrPort, []byte, []byte) {}
-	i.handlePacket(0, []byte("bad packet"), send, nil)
-	i.handlePacket(0, []byte("other"), send, nil)
+	i.handlePacket(0, 0, []byte("bad packet"), send, nil)
+	i.handlePacket(0, 0, []byte("other"), send, nil)
 	i.applyListing(0, "targets", storeSource, objectstore.Listing{Version: 9, Objects: []objectstore.Object{
 		{Key: "targets/i-0", Version: 1, Value: []byte("bad entry")}, {Key: "targets/i-1", Version: 2, Value: []byte("good")},
 	}}, true)
--- a/internal/forwarding/cold_test.go
+++ b/internal/forwarding/cold_test.go
@@ -86,22 +86,27 @@
 	must.False(t, ok)
 }
 
+// Guards against a reset of a flow that is open through another instance: its first packet was held
+// here until the view was complete, and the client retransmitted it.
+func TestHeldFirstPacketIsDropped(t *testing.T) {
+	for held, want := range map[time.Duration]Verdict{0: Reset, 199 * ms: Reset, 200 * ms: Drop, time.Second: Drop} {
+		b := newColdFixture(1, 0) // no share yet, as after the start
+		b.putCold("i-1", "a")
+		b.Tick(1500 * ms) // without it, the time until the packet is a stall
+		d := b.HandleHeld(2*time.Second, 2*time.Second-held, &Segment{Flow: flowTo(bookingAddr, 0), SYN: true, Seq: 100})
+		must.Eq(t, Decision{Verdict: want, Reason: Cold, Route: d.Route}, d, must.Sprint(held))
+	}
+}
+
 // Guards against a retransmitted first packet that is reset, although its original may have
-// opened the flow through another instance.
-func TestColdRetransmissionIsDropped(t *testing.T) {
+// opened the flow through another instance, against one that is held back by its own original,
+// and against one that uses nothing: the target may get the flow only with the retransmission.
+func TestColdRetransmission(t *testing.T) {
 	b := newColdFixture(1, 1)
 	b.putCold("i-1", "a")
 	must.Eq(t, map[string]int{"i-1": 1}, b.syns(1000*ms, 0, 1))
 	d := b.syn(1001*ms, flowTo(bookingAddr, 5), 1)
 	must.Eq(t, Decision{Verdict: Drop, Reason: Cold, Route: d.Route}, d)
-}
-
-// Guards against a retransmission that is held back by its own original, and against one that
-// uses nothing: the target may get the flow only with the retransmission.
-func TestRepeatedFirstPacketUsesAllowance(t *testing.T) {
-	b := newColdFixture(1, 1)
-	b.putCold("i-1", "a")
-	must.Eq(t, map[string]int{"i-1": 1}, b.syns(1000*ms, 0, 1))
 	must.Eq(t, Repeated, b.syn(1050*ms, flowTo(bookingAddr, 0), 1).Reason)
 	must.Eq(t, map[string]int{"reset:cold": 1}, b.syns(2049*ms, 10, 1))
 	must.Eq(t, map[string]int{"i-1": 1}, b.syns(2050*ms, 20, 1))
@@ -157,6 +162,26 @@
 	must.False(t, d.HeldBack)
 }
 
+// Guards against flows that are refused because the targets examined in another data centre are
+// all cold, although a warm one there has room.
+func TestColdTargetsElsewhereDoNotHideWarmOnes(t *testing.T) {
+	b := newColdFixture(2, 1)
+	for n := range 2 * maxRemoteCandidates {
+		b.putCold(target.ID(fmt.Sprintf("i-cold-%d", n)), "b")
+	}
+	b.put(0, b.entry("i-warm", "booking", "b"))
+	must.Eq(t, map[string]int{"i-warm": 20}, b.syns(1000*ms, 0, 20))
+}
+
+// Guards against a placement whose cost grows with the number of cold targets elsewhere.
+func TestColdTargetsElsewhereAreSkippedUpToABound(t *testing.T) {
+	b := newColdFixture(2, 1)
+	for n := range 3000 {
+		b.putCold(target.ID(fmt.Sprintf("i-cold-%d", n)), "b")
+	}
+	must.LessEq(t, coldSkipFactor*maxRemoteCandidates, len(b.Explain(1000*ms, flowTo(bookingAddr, 0)).Examined))
+}
+
 // Guards against flows to cold targets from an instance that does not know how many others
 // there are, and against shares that do not follow the number of instances.
 func TestAllowanceNeedsTheInstances(t *testing.T) {
