overload: packets between uploads do not count for the size of an upload

Cause: Link added the bytes of every full packet to those of the counted uploads. An instance that had forwarded full packets of open flows or of other kinds for a minute took them all for its first upload. The load was 12.1 on a link used to a tenth, so that uploads were rejected for many seconds. Change: full packets count for the mean size only in the second after an upload was admitted. Result: TestBytesOfOpenFlowsAreNoUploadSize failed at its second upload and passes; internal/overload passes.

--- a/internal/overload/link.go
+++ b/internal/overload/link.go
@@ -27,10 +27,17 @@
 
 	bulk, small window // bytes of full and of smaller packets
 	admitted    window // uploads
-	// uploads and uploadBytes are the latest uploads and the bytes of full packets.
+	// uploads and uploadBytes are the latest uploads, the last of them at countedAt, and the bytes
+	// of full packets within uploadTime after an upload.
 	uploads, uploadBytes float64
+	countedAt            time.Duration
 }
 
+// uploadTime is how long after the admission of an upload full packets count for the mean size.
+// Without an end, the packets of open flows and of other kinds between uploads would add up
+// without a bound.
+const uploadTime = time.Second
+
 // bulkPacket is the size in bytes of a packet's data from which it is taken for one of an upload.
 const bulkPacket = 1000
 
@@ -42,7 +49,9 @@
 		l.small.addN(now, uint32(header+data))
 	default:
 		l.bulk.addN(now, uint32(header+data))
-		l.uploadBytes += float64(header + data)
+		if l.uploads > 0 && now <= l.countedAt+uploadTime {
+			l.uploadBytes += float64(header + data)
+		}
 	}
 }
 
@@ -71,6 +80,7 @@
 		return
 	}
 	l.admitted.add(now)
+	l.countedAt = now
 	if l.uploads++; l.uploads >= maxCountedUploads {
 		l.uploads, l.uploadBytes = l.uploads/2, l.uploadBytes/2
 	}
--- a/internal/overload/link_test.go
+++ b/internal/overload/link_test.go
@@ -61,3 +61,25 @@
 	l.Use(0, 72, 1<<30)
 	must.True(t, l.Admits(0, view.Upload))
 }
+
+// Load pattern: packets of full size pass for a minute, a tenth of the link, on flows that are
+// open already or of other kinds; then single uploads of 40 KB arrive. Guards against taking all
+// these bytes for the size of the first uploads, so that further ones are rejected on a free link.
+func TestBytesOfOpenFlowsAreNoUploadSize(t *testing.T) {
+	l := Link{Rate: 1_250_000}
+	now := time.Duration(0)
+	pass := func(until time.Duration) {
+		for ; now < until; now += 10 * time.Millisecond {
+			l.Use(now, 72, 1178)
+		}
+	}
+	pass(time.Minute)
+	for n := range 20 {
+		must.True(t, l.Admits(now, view.Upload), must.Sprint("upload ", n, ", load ", l.Load(now)))
+		l.Count(now, view.Upload)
+		for range 32 {
+			l.Use(now, 72, 1178)
+		}
+		pass(now + 200*time.Millisecond)
+	}
+}
