forwarding: an unmarked copy of a forwarded first packet is not rejected

Cause: whether a first packet may be rejected depended only on the client's count of transmissions. A copy that the network made arrives without a count. If its target had not answered after 100 ms, the flow was placed again and could be reset for overload or a full link, although a target had seen the original. Change: a first packet whose original this instance forwarded counts as a retransmission. Result: TestCopyOfForwardedFirstPacketIsNotRejected failed with link_full and passes.

--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -350,10 +350,12 @@
 // the route are tried in order, starting with the share that the flow hashes to.
 func (f *Forwarder) choosePlacement(now time.Duration, s *Segment, r *view.Route, exclude *targetLoad, c *chooser, targets func(service.ID) *serviceTargets) (out placement) {
 	first := pickShare(r.Shares, s.Flow.Hash())
+	// A copy that the network made of a first packet is not marked, but its original was forwarded.
+	retransmitted := s.Ack > 0 || exclude != nil
 	p := &out.params
-	*p = flowParams{route: r, exclude: exclude, maxLatency: latencyLimit(r, s.Ack > 0)}
-	p.flow, p.byClass = f.overloadParams(now, s, r)
-	if f.linkFull(now, s, r) {
+	*p = flowParams{route: r, exclude: exclude, maxLatency: latencyLimit(r, retransmitted)}
+	p.flow, p.byClass = f.overloadParams(now, s, r, retransmitted)
+	if !retransmitted && f.linkFull(now, r) {
 		out.rejection = Decision{Verdict: Reset, Reason: LinkFull, Route: r}
 		return out
 	}
@@ -371,7 +373,7 @@
 			return out
 		}
 	}
-	out.rejection = f.noTarget(now, r, s.Ack > 0, excluded)
+	out.rejection = f.noTarget(now, r, retransmitted, excluded)
 	return out
 }
 
--- a/internal/forwarding/overload.go
+++ b/internal/forwarding/overload.go
@@ -40,8 +40,8 @@
 // overloadParams returns the properties of a new flow for the decision; ok is false if the
 // flow is not subject to it. A retransmitted first packet is never rejected: its original may
 // have opened the flow through another instance.
-func (f *Forwarder) overloadParams(now time.Duration, s *Segment, r *view.Route) (out overload.Flow, ok bool) {
-	if f.overload == nil || s.Ack > 0 {
+func (f *Forwarder) overloadParams(now time.Duration, s *Segment, r *view.Route, retransmitted bool) (out overload.Flow, ok bool) {
+	if f.overload == nil || retransmitted {
 		return out, false
 	}
 	return overload.Flow{
@@ -63,9 +63,9 @@
 }
 
 // linkFull reports whether a new flow must be rejected because the instance's link has no room
-// for it. A retransmitted first packet is not rejected: its original may have opened the flow.
-func (f *Forwarder) linkFull(now time.Duration, s *Segment, r *view.Route) bool {
-	return f.overload != nil && s.Ack == 0 && !f.overload.link.Admits(now, r.Kind)
+// for it. It must not be asked for a retransmitted first packet, whose original may have opened the flow.
+func (f *Forwarder) linkFull(now time.Duration, r *view.Route) bool {
+	return f.overload != nil && !f.overload.link.Admits(now, r.Kind)
 }
 
 // arrive records a new flow and returns the latency above which targets are late for it.
--- a/internal/forwarding/overload_test.go
+++ b/internal/forwarding/overload_test.go
@@ -162,7 +162,7 @@
 			}
 			p := flowParams{route: fw.View.Route(feedAddr), maxLatency: 100 * ms}
 			s := Segment{Flow: FlowID{client(1), feedAddr}, SYN: true}
-			p.flow, p.byClass = fw.overloadParams(0, &s, p.route)
+			p.flow, p.byClass = fw.overloadParams(0, &s, p.route, false)
 			b.ReportAllocs()
 			b.ResetTimer()
 			for range b.N {
@@ -172,3 +172,17 @@
 		})
 	}
 }
+
+// Guards against resetting a flow on a copy of its first packet that is not marked as a
+// retransmission, such as one that the network duplicated: its target may have seen the original.
+func TestCopyOfForwardedFirstPacketIsNotRejected(t *testing.T) {
+	o, _ := newOverloadSimByClass(4, 2, feedWork)
+	o.overload.link.Rate = 1000
+	upload := flowTo(feedAddr, 7)
+	d := o.syn(0, upload, 0)
+	must.Eq(t, Placed, d.Reason)
+	o.View.Route(feedAddr).Kind = view.Upload
+	o.overload.link.Use(100*ms, 0, 100_000)
+	must.Eq(t, LinkFull, o.syn(150*ms, flowTo(feedAddr, 8), 0).Reason)
+	must.Eq(t, Moved, o.syn(150*ms, upload, 0).Reason)
+}
