forwarding: no credit before a pending start, and none kept for another service

Causes: a target that restarted under one id kept the pace and the credit of its earlier run until the next tick, up to 500 ms, in which every instance could send it its saved credit. A target whose entry moved to another service or data centre without a restart was compared with another sum of credits: with 1,000 in the former sum its credit became -998, so that it ranked last for good. The comment on pending named placements, which do not apply it. Changes: a target with a pending start ranks without credit; a move counts as a start.

--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -161,15 +161,15 @@
 		}
 		f.loads[t.ID] = l
 	}
-	listed := l.target != nil
-	if listed && (l.service != t.Service || l.zone != t.Zone) {
+	first := l.target == nil
+	moved := !first && (l.service != t.Service || l.zone != t.Zone)
+	restarted := !first && l.incarnation != t.Incarnation
+	if moved {
 		f.removeFromService(l)
-		listed = false
 	}
-	first, restarted := l.target == nil, l.target != nil && l.incarnation != t.Incarnation
 	l.setTarget(t)
-	l.pace.markChange(t, first, restarted, !f.View.Complete())
-	if !listed {
+	l.pace.markChange(t, first, restarted || moved, !f.View.Complete())
+	if first || moved {
 		f.addToService(l)
 	}
 }
--- a/internal/forwarding/pacing.go
+++ b/internal/forwarding/pacing.go
@@ -39,8 +39,8 @@
 // targetPace is the pace of a target with what leads to its start.
 type targetPace struct {
 	pace.Pace
-	// pending is the cause of a start that is applied with the next placement or tick, when
-	// the time is known; empty if there is none.
+	// pending is the cause of a start that is applied with the next tick, when the time is
+	// known; empty if there is none. Until then the target has no credit.
 	pending PaceCause
 	// known is set if the target was in the first list, so that its start was not observed.
 	known bool
@@ -76,8 +76,9 @@
 func (z *zonePacing) at(now time.Duration) pace.Time { return pace.Time{Now: now, Earned: z.earned} }
 
 // markChange notes what a change of the target's entry means for its pace. first is set if the
-// target is new here, restarted if it runs under another incarnation, listing while the
-// instance reads its first lists.
+// target is new here, restarted if it runs under another incarnation or for another service or
+// data centre, whose credits are summed up separately, listing while the instance reads its first
+// lists.
 func (p *targetPace) markChange(t *view.Target, first, restarted, listing bool) {
 	switch {
 	case first:
@@ -302,7 +303,7 @@
 		p.rank = unreliableTarget
 	case l.silent:
 		p.rank = withCredit
-	case !l.pace.running || !l.pace.Ready(z.earned) || l.busy+l.opening >= l.target.Slots:
+	case !l.pace.running || l.pace.pending != "" || !l.pace.Ready(z.earned) || l.busy+l.opening >= l.target.Slots:
 		p.rank = withoutCredit
 	}
 	if c.best.load == nil || p.better(&c.best) {
--- a/internal/forwarding/pacing_test.go
+++ b/internal/forwarding/pacing_test.go
@@ -721,3 +721,30 @@
 		f.tickPaces(ms)
 	}
 }
+
+// Guards against flows that a restarted target gets by the pace and the credit of its earlier run
+// until the next tick.
+func TestRestartedTargetHasNoCreditBeforeItsStart(t *testing.T) {
+	b := pacedFixture(3, "a")
+	b.Tick(time.Second)
+	e := b.entry("i-0", "booking", "a")
+	e.Incarnation = 7
+	b.put(time.Second+ms, e)
+	for n := range 3 {
+		z := b.services["booking"].zone("a")
+		z.pacing.earned += 2 // all targets have credit
+		must.NotEq(t, target.ID("i-0"), b.syn(time.Second+2*ms, flowTo(bookingAddr, n), 0).Target.ID)
+	}
+}
+
+// Guards against a target without credit for good after its entry moved to another service, whose
+// sum of credits is lower.
+func TestPaceOfTargetThatChangesItsService(t *testing.T) {
+	b := pacedFixture(3, "a")
+	b.put(0, b.entry("i-other", "proofing", "a"))
+	b.services["booking"].zone("a").pacing.earned = 1000
+	b.Tick(time.Second)
+	b.put(2*time.Second, b.entry("i-0", "proofing", "a"))
+	b.Tick(2 * time.Second)
+	must.Between(t, -1, b.loads["i-0"].pace.Credit(0), 2)
+}
