forwarding: an explanation changes no pacing state and says that a packet is held

Causes: Explain stored the mean of the idle flows that the next placement compares new targets with, though it must change no state. Before the first lists it answered reset, no_route, where a first packet is held.

--- a/internal/forwarding/explain.go
+++ b/internal/forwarding/explain.go
@@ -64,6 +64,10 @@
 // Explain returns where a new flow would go now, by the same choice as for a first packet. The
 // flow is not placed, and nothing is recorded.
 func (f *Forwarder) Explain(now time.Duration, flow FlowID) (out Explanation) {
+	if !f.View.Complete() {
+		out.Decision = Decision{Verdict: Hold, Reason: NotReady}
+		return out
+	}
 	r := f.View.Route(flow.Service)
 	if r == nil {
 		out.Decision = f.noRoute(now)
--- a/internal/forwarding/explain_test.go
+++ b/internal/forwarding/explain_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"guavaloom.example/guavaloom/internal/target"
+	"guavaloom.example/guavaloom/internal/view"
 )
 
 // Guards against an explanation that differs from the placement that follows, or that changes
@@ -33,6 +34,24 @@
 	}
 }
 
+// Guards against an explanation that changes what later placements are based on.
+func TestExplanationRecordsNothing(t *testing.T) {
+	b := pacedFixture(2, "a")
+	b.syn(0, flowTo(bookingAddr, 1), 0)
+	z := b.services["booking"].zone("a")
+	b.loads["i-0"].open = 5
+	before := z.pacing.meanIdle
+	b.Explain(0, flowTo(bookingAddr, 2))
+	must.Eq(t, before, z.pacing.meanIdle)
+}
+
+// Guards against an explanation that rejects a flow while its first packet would be held.
+func TestExplanationBeforeTheViewIsComplete(t *testing.T) {
+	b := &fixture{events: &events{}}
+	b.Forwarder = New("a", limits, view.New(viewLimits), b.events)
+	must.Eq(t, Decision{Verdict: Hold, Reason: NotReady}, b.Explain(0, flowTo(bookingAddr, 1)).Decision)
+}
+
 // Guards against an explanation that hides why nothing can be chosen.
 func TestExplanationOfRejections(t *testing.T) {
 	b := newFixture()
--- a/internal/forwarding/placement.go
+++ b/internal/forwarding/placement.go
@@ -159,7 +159,7 @@
 			out.local.add(now, l, p.maxLatency)
 		}
 	}
-	if c.paced {
+	if c.paced && c.trace == nil { // an explanation records nothing
 		paced.finish(&z.pacing, out.candidates)
 	}
 }
