forwarding: the time of an own stall is no latency of a target

Cause: after a stall of the process, answers that had waited in the socket counted with the time of the stall (a mean of 40 ms became 632 ms with one answer), which the admission by class, the paces and the rule for late targets take for a queue at the targets. A tick that came before the answers counted all requests in flight as unanswered on their targets. Change: the answer to a request that was sent before the end of the latest stall gives no latency, and the lack of one is no failure. Result: TestOwnStallIsNoLatency failed in both orders of tick and answer and passes; internal/forwarding passes.

--- a/internal/forwarding/flows.go
+++ b/internal/forwarding/flows.go
@@ -122,10 +122,10 @@
 	}
 }
 
-// expireRequests counts requests without an answer after responseTimeout as unanswered, and
-// calls unanswered for each of them and waiting for the others in flight. Their flows may also
+// expireRequests calls unanswered for each request without an answer after responseTimeout,
+// which is no longer in flight then, and waiting for the others in flight. Their flows may also
 // have moved to another instance, which sees the answers; that affects all targets alike and
-// doesn't change their order. Failures before a recovery that cleared them don't count.
+// doesn't change their order.
 func (t *flowTable) expireRequests(now time.Duration, unanswered, waiting func(*flowState)) {
 	for _, f := range t.flows {
 		if !f.busy {
@@ -136,9 +136,6 @@
 			continue
 		}
 		f.setBusy(false)
-		if f.newDataAt >= f.load.pace.forgivenAt {
-			f.load.recordOutcome(now, false)
-		}
 		unanswered(f)
 	}
 }
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -225,6 +225,22 @@
 	f.lastActivityAt = now
 }
 
+// beforeStall reports whether a flow's request was sent before the process last stalled, so that
+// the time until its answer says nothing about the target.
+func (f *Forwarder) beforeStall(s *flowState) bool { return s.newDataAt < f.stallEndedAt }
+
+// requestUnanswered records a request without an answer. Failures before a recovery that cleared
+// them don't count.
+func (f *Forwarder) requestUnanswered(now time.Duration, s *flowState) {
+	if f.beforeStall(s) {
+		return
+	}
+	if s.newDataAt >= s.load.pace.forgivenAt {
+		s.load.recordOutcome(now, false)
+	}
+	f.paceOutcome(now, s.load, s.newDataAt, false)
+}
+
 // handleFirst places the first packet of a flow, or a retransmission of it. A packet that may
 // have waited in a stall is not rejected: its flow may be open through another instance.
 func (f *Forwarder) handleFirst(now time.Duration, s *Segment) Decision {
@@ -515,11 +531,13 @@
 	}
 	if state.busy {
 		took := now - state.newDataAt
-		if f.requestRan(now, s.Flow, state.load, took) {
-			state.load.recordLatency(now, took)
+		if !f.beforeStall(state) { // else the answer may have waited here
+			if f.requestRan(now, s.Flow, state.load, took) {
+				state.load.recordLatency(now, took)
+			}
+			f.paceOutcome(now, state.load, state.newDataAt, true)
 		}
 		state.load.recordOutcome(now, true)
-		f.paceOutcome(now, state.load, state.newDataAt, true)
 		f.observer.ObserveSpan(Answer, took)
 		if state.sawFirstPacket && !state.answered {
 			f.observer.ObserveSpan(FirstAnswer, now-state.firstPacketAt)
@@ -570,7 +588,7 @@
 		idle = defaultIdleTimeout
 	}
 	f.flows.expireIdle(now, idle)
-	f.flows.expireRequests(now, func(s *flowState) { f.paceOutcome(now, s.load, s.newDataAt, false) }, func(s *flowState) { f.paceWait(now, s) })
+	f.flows.expireRequests(now, func(s *flowState) { f.requestUnanswered(now, s) }, func(s *flowState) { f.paceWait(now, s) })
 	f.tickPaces(now)
 	f.tickOverload(now)
 	var out []ResetFlow
--- a/internal/forwarding/forwarder_test.go
+++ b/internal/forwarding/forwarder_test.go
@@ -464,3 +464,32 @@
 		must.Eq(t, "i-new", b.syn(1100*ms+openingTimeout, f, 0).Target.ID)
 	})
 }
+
+// Load pattern: the process stalls for three seconds with requests in flight, whose answers wait in
+// the socket; the tick comes before them or after them. Guards against taking the time of the stall for
+// the latency of the targets, and the requests for failed ones.
+func TestOwnStallIsNoLatency(t *testing.T) {
+	for _, tickFirst := range []bool{false, true} {
+		b := pacedFixture(1, "a")
+		b.Tick(time.Second)
+		answered := flowTo(bookingAddr, 1)
+		d := b.syn(time.Second, answered, 0)
+		b.accept(1010*ms, answered, d)
+		b.data(1010*ms, answered, d.Token, 101, 500, 10)
+		b.Handle(1050*ms, &Segment{Flow: answered, ACK: true, Seq: 111, Ack: 1500, Token: d.Token})
+		b.Tick(1050 * ms)
+		b.data(1100*ms, answered, d.Token, 111, 1500, 10)
+		l := b.loads["i-0"]
+		latency, pace := l.latency, l.pace.Value()
+		const resumedAt = 4100 * ms
+		if tickFirst {
+			b.Tick(resumedAt)
+		}
+		b.Handle(resumedAt+ms, &Segment{Flow: answered, ACK: true, Seq: 121, Ack: 2500, Token: d.Token})
+		b.Tick(resumedAt + 2*ms)
+		must.Eq(t, latency, l.latency)
+		must.GreaterEq(t, pace, l.pace.Value())
+		must.Zero(t, l.failureShare)
+		must.Zero(t, l.busy)
+	}
+}
--- a/internal/forwarding/pacing.go
+++ b/internal/forwarding/pacing.go
@@ -173,7 +173,7 @@
 // paceWait records a request that waits for its answer. Only the longest wait at a target counts
 // with a tick: requests in one queue are one observation.
 func (f *Forwarder) paceWait(now time.Duration, s *flowState) {
-	if p := &s.load.pace; p.running && s.newDataAt >= p.startedAt {
+	if p := &s.load.pace; p.running && s.newDataAt >= p.startedAt && !f.beforeStall(s) {
 		p.longestWait = max(p.longestWait, now-s.newDataAt)
 	}
 }
