overload: an absent class gives its place to a new one

Cause: the table of eight classes of a service kept those of earlier configurations for the life of the process; once it was full, flows of any further class were admitted whatever the load. Change: a new class takes the place of the one that was absent for longest, at least two seconds.

--- a/internal/overload/service.go
+++ b/internal/overload/service.go
@@ -7,7 +7,8 @@
 )
 
 const (
-	// maxClasses bounds the classes of a service; flows of further ones are admitted.
+	// maxClasses bounds the classes of a service. A further one takes the place of an absent one;
+	// its flows are admitted while there is none.
 	maxClasses = 8
 	// presentFor is how long after its last flow a class counts as present.
 	presentFor = 2 * time.Second
@@ -173,9 +174,29 @@
 	return &s.classes[s.known-1]
 }
 
+// replaceAbsent gives the place of the class that has been absent for longest to another one. It
+// returns nil if all classes are present.
+func (s *Service) replaceAbsent(now time.Duration, by Class) *classState {
+	oldest := &s.classes[0]
+	for i := range s.classes[:s.known] {
+		if c := &s.classes[i]; c.lastArrivalAt < oldest.lastArrivalAt {
+			oldest = c
+		}
+	}
+	if now <= oldest.lastArrivalAt+presentFor {
+		return nil
+	}
+	*oldest = classState{class: by}
+	return oldest
+}
+
 // Arrive records the arrival of a new flow. It precedes Admits and AdmitsRemote.
 func (s *Service) Arrive(now time.Duration, f Flow) {
-	if c := s.class(f.Class); c != nil {
+	c := s.class(f.Class)
+	if c == nil {
+		c = s.replaceAbsent(now, f.Class)
+	}
+	if c != nil {
 		c.objective, c.deadline, c.lastArrivalAt = f.Objective, f.Deadline, now
 	}
 }
--- a/internal/overload/service_test.go
+++ b/internal/overload/service_test.go
@@ -314,3 +314,29 @@
 		s.Answer(now, f.Class, 50*ms)
 	}))
 }
+
+// Guards against classes of earlier configurations that fill the table for good, so that no later
+// class is ever rejected.
+func TestClassesOfEarlierConfigurations(t *testing.T) {
+	s := &Service{}
+	for n := range maxClasses {
+		s.Arrive(time.Duration(n)*ms, flowOf(10+n, view.Idempotent))
+	}
+	low, high := flowOf(3, view.Idempotent), flowOf(1, view.AtMostOnce)
+	now := time.Minute
+	for range 3 { // the classes take turns
+		for _, f := range []Flow{low, high} {
+			now += ms
+			s.Arrive(now, f)
+			for range firstSamples {
+				s.Answer(now, f.Class, 40*ms)
+			}
+		}
+	}
+	for range 100 {
+		s.recordCongestion(now, 10)
+	}
+	must.False(t, s.Admits(now, low, full(4)))
+	must.Positive(t, s.class(low.Class).serviceTime)
+	must.Positive(t, s.class(high.Class).serviceTime)
+}
