virtualtime: one clock and one server for the replays of overload, admission and pacing

Cause: internal/overload's replay and forwarding's admission and pacing replays each had an event queue and a target with slots and a queue. Change: package virtualtime has both; only tests import it. Tests before and after: in pacing_test.go TestPaceReplays, TestPaceOfFirstList, TestPaceStarts, TestPaceStaysInDataCentre, TestPaceUsesFreeSlots, TestPaceBurstWaits, TestPaceOfUnresponsiveTarget, TestPaceFromReports, TestRestartedTargetHasNoCreditBeforeItsStart, TestPaceOfTargetThatChangesItsService and two benchmarks; in overload_test.go TestUrgentRequestsDuringOverload, TestFlowsNotRejectedWithoutNeedByClass, TestOverloadSpillsToRemoteTargetsByClass, TestEvacuatedDataCentreRejectsByClass, TestRetransmittedFirstPacketIsNotRejectedByClass, TestCopyOfForwardedFirstPacketIsNotRejected and a benchmark; in admission_test.go TestOverloadServesMostInTime, TestFlowsNotRejectedWithoutNeed, TestOverloadSpillsToRemoteTargets, TestRetransmittedFirstPacketIsNotRejected; in replay_test.go TestEightTimesTheTraffic, TestWrongNumberOfInstances, TestSlowTargets, TestUrgentAlone, TestTwoClassesOfOnePriority, TestReturnToNormal, TestNoRejectionsAtNormalLoad.

--- a/internal/forwarding/admission_test.go
+++ b/internal/forwarding/admission_test.go
@@ -1,7 +1,6 @@
 package forwarding
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand"
 	"testing"
@@ -12,6 +11,7 @@
 	"guavaloom.example/guavaloom/internal/service"
 	"guavaloom.example/guavaloom/internal/target"
 	"guavaloom.example/guavaloom/internal/view"
+	"guavaloom.example/guavaloom/internal/virtualtime"
 )
 
 const (
@@ -25,33 +25,13 @@
 	bookAddr = view.Endpoint{Addr: [4]byte{198, 18, 0, 5}, Port: 443}
 )
 
-// event is a scheduled step of the simulation.
-type event struct {
-	at time.Duration
-	do func()
-}
-
-type eventQueue []event
-
-func (t eventQueue) Len() int           { return len(t) }
-func (t eventQueue) Less(i, j int) bool { return t[i].at < t[j].at }
-func (t eventQueue) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
-func (t *eventQueue) Push(e any)        { *t = append(*t, e.(event)) }
-func (t *eventQueue) Pop() any {
-	last := (*t)[len(*t)-1]
-	*t = (*t)[:len(*t)-1]
-	return last
-}
-
 // overloadSim simulates targets with three slots and a short queue behind one instance, and
 // requests that each arrive on a new flow.
 type overloadSim struct {
 	*fixture
-	now     time.Duration
-	events  eventQueue
+	virtualtime.Clock
 	rng     *rand.Rand
-	waiting map[target.ID][]func()
-	running map[target.ID]int
+	servers map[target.ID]*virtualtime.Server
 	flows   int
 	reasons map[Reason]int
 	// work is the mean processing time of a request.
@@ -63,8 +43,8 @@
 func newOverloadSim(targets int, feedPriority int, work time.Duration) *overloadSim {
 	o := &overloadSim{
 		fixture: newFixture(), reasons: map[Reason]int{}, rng: rand.New(rand.NewSource(1)), work: work,
-		waiting: map[target.ID][]func(){}, running: map[target.ID]int{},
-		inTime: map[view.Endpoint]int{}, late: map[view.Endpoint]int{}, queueFull: map[view.Endpoint]int{}, rejected: map[view.Endpoint]int{},
+		servers: map[target.ID]*virtualtime.Server{},
+		inTime:  map[view.Endpoint]int{}, late: map[view.Endpoint]int{}, queueFull: map[view.Endpoint]int{}, rejected: map[view.Endpoint]int{},
 	}
 	shares := []view.Share{{Service: "booking", Weight: 1}}
 	o.View.SetConfig(view.Config{Version: 2, IdleTimeout: time.Minute, Routes: []view.Route{
@@ -77,14 +57,12 @@
 	return o
 }
 
-func (o *overloadSim) at(d time.Duration, do func()) { heap.Push(&o.events, event{o.now + d, do}) }
-
 // arrive schedules requests at a mean rate until a given time.
 func (o *overloadSim) arrive(to view.Endpoint, perSecond float64, until time.Duration) {
-	if o.now >= until {
+	if o.Now() >= until {
 		return
 	}
-	o.at(time.Duration(o.rng.ExpFloat64()/perSecond*float64(time.Second)), func() {
+	o.After(time.Duration(o.rng.ExpFloat64()/perSecond*float64(time.Second)), func() {
 		o.request(to)
 		o.arrive(to, perSecond, until)
 	})
@@ -93,53 +71,32 @@
 func (o *overloadSim) request(to view.Endpoint) {
 	o.flows++
 	flow := FlowID{view.Endpoint{Addr: [4]byte{100, byte(o.flows >> 16), byte(o.flows >> 8), byte(o.flows)}, Port: 1025}, to}
-	d := o.syn(o.now, flow, 0)
+	d := o.syn(o.Now(), flow, 0)
 	if d.Verdict == Reset {
 		o.reasons[d.Reason]++
 		o.rejected[to]++
 		return
 	}
-	began, id := o.now, d.Target.ID
-	o.accept(o.now, flow, d)
-	o.data(o.now, flow, d.Token, 101, 500, 10)
+	began, id := o.Now(), d.Target.ID
+	o.accept(o.Now(), flow, d)
+	o.data(o.Now(), flow, d.Token, 101, 500, 10)
 	answer := func(ok bool) {
-		o.Handle(o.now, &Segment{Flow: flow, ACK: true, FIN: true, Seq: 111, Ack: 600, Token: d.Token})
+		o.Handle(o.Now(), &Segment{Flow: flow, ACK: true, FIN: true, Seq: 111, Ack: 600, Token: d.Token})
 		switch {
 		case !ok:
 			o.queueFull[to]++
-		case o.now-began <= feedObjective:
+		case o.Now()-began <= feedObjective:
 			o.inTime[to]++
 		default:
 			o.late[to]++
 		}
 	}
-	if o.running[id] >= 3 && len(o.waiting[id]) >= queueLimit {
-		answer(false)
-		return
-	}
-	run := func() {
-		o.running[id]++
-		o.at(time.Duration((0.5+o.rng.Float64())*float64(o.work)), func() {
-			o.running[id]--
-			answer(true)
-			if next := o.waiting[id]; len(next) > 0 {
-				o.waiting[id] = next[1:]
-				next[0]()
-			}
-		})
-	}
-	if o.running[id] < 3 {
-		run()
-		return
+	if o.servers[id] == nil {
+		o.servers[id] = &virtualtime.Server{Slots: 3, Queue: queueLimit}
 	}
-	o.waiting[id] = append(o.waiting[id], run)
-}
-
-func (o *overloadSim) run() {
-	for len(o.events) > 0 {
-		e := heap.Pop(&o.events).(event)
-		o.now = e.at
-		e.do()
+	work := func() time.Duration { return time.Duration((0.5 + o.rng.Float64()) * float64(o.work)) }
+	if !o.servers[id].Serve(&o.Clock, work, func() { answer(true) }) {
+		answer(false)
 	}
 }
 
@@ -152,7 +109,7 @@
 	o := newOverloadSim(targets, 2, feedWork)
 	o.arrive(feedAddr, 1.07*capacity, seconds*time.Second)
 	o.arrive(bookAddr, 0.26*capacity, seconds*time.Second)
-	o.run()
+	o.Run()
 	worked := float64(o.inTime[feedAddr] + o.late[feedAddr] + o.inTime[bookAddr] + o.late[bookAddr])
 	must.Greater(t, 0.95*capacity*seconds, worked, must.Sprint("the targets are not fully used"))
 	must.Greater(t, 0.95*worked, float64(o.inTime[feedAddr]+o.inTime[bookAddr]))
@@ -167,23 +124,23 @@
 	t.Run("most urgent", func(t *testing.T) {
 		o := newOverloadSim(4, view.HighestPriority, feedWork)
 		o.arrive(feedAddr, 400, 5*time.Second)
-		o.run()
+		o.Run()
 		must.MapEmpty(t, o.reasons)
 	})
 	t.Run("slow work", func(t *testing.T) {
 		o := newOverloadSim(4, 2, 5*feedWork)
 		o.arrive(feedAddr, 25, 20*time.Second) // 5 of 12 slots
-		o.run()
+		o.Run()
 		must.LessEq(t, 0.02*25*20, float64(o.rejected[feedAddr]))
 	})
 	t.Run("after the load", func(t *testing.T) {
 		o := newOverloadSim(4, 2, feedWork)
 		o.arrive(feedAddr, 500, 5*time.Second)
-		o.run()
+		o.Run()
 		must.Positive(t, o.rejected[feedAddr])
 		o.rejected = map[view.Endpoint]int{}
-		o.at(time.Second, func() { o.arrive(feedAddr, 100, o.now+5*time.Second) })
-		o.run()
+		o.After(time.Second, func() { o.arrive(feedAddr, 100, o.Now()+5*time.Second) })
+		o.Run()
 		must.MapEmpty(t, o.rejected)
 	})
 }
@@ -197,7 +154,7 @@
 	}
 	const perSecond, seconds = 300, 10 // 12 of 18 slots
 	o.arrive(feedAddr, perSecond, seconds*time.Second)
-	o.run()
+	o.Run()
 	must.LessEq(t, 0.01*perSecond*seconds, float64(o.rejected[feedAddr]))
 	must.Greater(t, 0.97*perSecond*seconds, float64(o.inTime[feedAddr]))
 }
@@ -208,11 +165,9 @@
 	o := newOverloadSim(4, 2, feedWork)
 	o.arrive(feedAddr, 500, 2*time.Second)
 	for o.rejected[feedAddr] == 0 {
-		e := heap.Pop(&o.events).(event)
-		o.now = e.at
-		e.do()
+		o.Step()
 	}
 	flow := FlowID{client(7), feedAddr}
-	must.Eq(t, Overloaded, o.syn(o.now, flow, 0).Reason)
-	must.Eq(t, Placed, o.syn(o.now, flow, 1).Reason)
+	must.Eq(t, Overloaded, o.syn(o.Now(), flow, 0).Reason)
+	must.Eq(t, Placed, o.syn(o.Now(), flow, 1).Reason)
 }
--- a/internal/forwarding/overload_test.go
+++ b/internal/forwarding/overload_test.go
@@ -1,7 +1,6 @@
 package forwarding
 
 import (
-	"container/heap"
 	"fmt"
 	"testing"
 	"time"
@@ -50,7 +49,7 @@
 	o, e := newOverloadSimByClass(targets, 2, feedWork)
 	o.arrive(feedAddr, 1.7*capacity, seconds*time.Second)
 	o.arrive(bookAddr, 0.5*capacity, seconds*time.Second)
-	o.run()
+	o.Run()
 	booked := float64(o.inTime[bookAddr] + o.late[bookAddr])
 	must.GreaterEq(t, 0.99*booked, float64(o.inTime[bookAddr]))
 	must.LessEq(t, 0.01*booked, float64(o.queueFull[bookAddr]+o.rejected[bookAddr]))
@@ -60,7 +59,7 @@
 	must.Positive(t, e.outcomes[overload.Admitted])
 	must.True(t, e.changes[0])
 	must.LessEq(t, 40, len(e.changes), must.Sprint("the full state changes too often"))
-	o.Tick(o.now + 3*time.Second)
+	o.Tick(o.Now() + 3*time.Second)
 	must.False(t, e.changes[len(e.changes)-1])
 	must.Zero(t, o.FullServices())
 }
@@ -70,11 +69,11 @@
 func TestFlowsNotRejectedWithoutNeedByClass(t *testing.T) {
 	o, _ := newOverloadSimByClass(4, view.HighestPriority, feedWork)
 	o.arrive(feedAddr, 400, 5*time.Second)
-	o.run()
+	o.Run()
 	must.MapEmpty(t, o.reasons)
 	o, _ = newOverloadSimByClass(4, 2, 5*feedWork)
 	o.arrive(feedAddr, 25, 20*time.Second) // 5 of 12 slots
-	o.run()
+	o.Run()
 	must.LessEq(t, 0.02*25*20, float64(o.rejected[feedAddr]))
 }
 
@@ -87,7 +86,7 @@
 	}
 	const perSecond, seconds = 300, 10 // 12 of 18 slots
 	o.arrive(feedAddr, perSecond, seconds*time.Second)
-	o.run()
+	o.Run()
 	must.LessEq(t, 0.01*perSecond*seconds, float64(o.rejected[feedAddr]))
 	must.Greater(t, 0.97*perSecond*seconds, float64(o.inTime[feedAddr]))
 	must.Positive(t, e.outcomes[overload.Elsewhere])
@@ -107,7 +106,7 @@
 		}
 		o.arrive(feedAddr, 500, 10*time.Second)
 		o.arrive(bookAddr, 100, 10*time.Second)
-		o.run()
+		o.Run()
 		return o
 	}
 	share := func(o *overloadSim) float64 {
@@ -129,15 +128,13 @@
 	o, _ := newOverloadSimByClass(4, 2, feedWork)
 	o.arrive(feedAddr, 500, 2*time.Second)
 	for o.rejected[feedAddr] == 0 {
-		e := heap.Pop(&o.events).(event)
-		o.now = e.at
-		e.do()
+		o.Step()
 	}
 	flow := FlowID{client(7), feedAddr}
-	must.Eq(t, Overloaded, o.syn(o.now, flow, 0).Reason)
-	must.True(t, o.overload.clients.Rejected(o.now+time.Second, flow.Client.Addr))
-	must.False(t, o.overload.clients.Rejected(o.now, client(8).Addr))
-	must.Eq(t, Placed, o.syn(o.now, flow, 1).Reason)
+	must.Eq(t, Overloaded, o.syn(o.Now(), flow, 0).Reason)
+	must.True(t, o.overload.clients.Rejected(o.Now()+time.Second, flow.Client.Addr))
+	must.False(t, o.overload.clients.Rejected(o.Now(), client(8).Addr))
+	must.Eq(t, Placed, o.syn(o.Now(), flow, 1).Reason)
 }
 
 // BenchmarkPlaceLargeFleet places flows at 3,000 targets in 16 data centres that 300 instances
--- a/internal/forwarding/pacing_test.go
+++ b/internal/forwarding/pacing_test.go
@@ -1,7 +1,6 @@
 package forwarding
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand"
 	"slices"
@@ -12,6 +11,7 @@
 
 	"guavaloom.example/guavaloom/internal/target"
 	"guavaloom.example/guavaloom/internal/view"
+	"guavaloom.example/guavaloom/internal/virtualtime"
 )
 
 const (
@@ -35,11 +35,10 @@
 type replayedTarget struct {
 	id target.ID
 	// speed is the factor of its service times.
-	speed                      float64
-	coldUntil                  time.Duration
-	silentFrom, silentUntil    time.Duration
-	running                    int
-	waiting                    []func()
+	speed                   float64
+	coldUntil               time.Duration
+	silentFrom, silentUntil time.Duration
+	virtualtime.Server
 	most, rejected             int
 	watched                    bool
 	watchedFrom                time.Duration
@@ -54,8 +53,7 @@
 // paceReplay replays a load on targets behind several instances that each see an equal part of
 // it. A third of the requests follow on open flows, which stay idle in between.
 type paceReplay struct {
-	now       time.Duration
-	events    eventQueue
+	virtualtime.Clock
 	rng       *rand.Rand
 	instances []*fixture
 	targets   []*replayedTarget
@@ -90,36 +88,35 @@
 }
 
 func (r *paceReplay) tick(b *fixture, after time.Duration) {
-	r.at(after, func() {
-		b.View.TargetsFreshAt, b.View.ConfigFreshAt = r.now, r.now
-		b.Tick(r.now)
+	r.After(after, func() {
+		b.View.TargetsFreshAt, b.View.ConfigFreshAt = r.Now(), r.Now()
+		b.Tick(r.Now())
 		r.tick(b, 500*ms)
 	})
 }
 
-func (r *paceReplay) at(d time.Duration, do func()) { heap.Push(&r.events, event{r.now + d, do}) }
-
 // start starts a target. Instances learn of it within 100 ms.
 func (r *paceReplay) start(id string, speed float64, cold time.Duration) *replayedTarget {
-	t := &replayedTarget{id: target.ID(id), speed: speed, coldUntil: r.now + cold, active: true}
+	t := &replayedTarget{id: target.ID(id), speed: speed, coldUntil: r.Now() + cold, active: true,
+		Server: virtualtime.Server{Slots: replaySlots, Queue: replayQueue}}
 	r.targets = append(r.targets, t)
 	r.byID[t.id] = t
 	r.active++
 	for _, b := range r.instances {
 		delay := time.Duration(0)
-		if r.now > 0 {
+		if r.Now() > 0 {
 			delay = time.Duration(r.rng.Int63n(int64(100 * ms)))
 		}
 		e := b.entry(t.id, "booking", "a")
 		e.Slots, e.WarmUp = replaySlots, max(cold-delay, 0)
 		put := func() {
-			b.put(r.now, e)
+			b.put(r.Now(), e)
 			b.loads[t.id].tieBreak = r.rng.Uint64() // seeded, instead of the process's random numbers
 		}
 		if delay == 0 {
 			put()
 		} else {
-			r.at(delay, put)
+			r.After(delay, put)
 		}
 	}
 	return t
@@ -130,17 +127,17 @@
 	t.active = false
 	r.active--
 	for _, b := range r.instances {
-		r.at(time.Duration(r.rng.Int63n(int64(100*ms))), func() {
+		r.After(time.Duration(r.rng.Int63n(int64(100*ms))), func() {
 			e := b.entry(t.id, "booking", "a")
 			e.Slots, e.Draining = replaySlots, true
-			b.put(r.now, e)
-			r.at(8*time.Second, func() { b.remove(r.now, t.id) })
+			b.put(r.Now(), e)
+			r.After(8*time.Second, func() { b.remove(r.Now(), t.id) })
 		})
 	}
 }
 
 // watch measures a target from now on.
-func (r *paceReplay) watch(t *replayedTarget) { t.watched, t.watchedFrom, t.most = true, r.now, 0 }
+func (r *paceReplay) watch(t *replayedTarget) { t.watched, t.watchedFrom, t.most = true, r.Now(), 0 }
 
 // arrive schedules requests with the given mean use of the slots until a given time.
 func (r *paceReplay) arrive(use float64, until time.Duration) {
@@ -148,9 +145,9 @@
 	perSecond := use * replayTargets * replaySlots / replayWork.Seconds() / 1.5
 	var next func()
 	next = func() {
-		r.at(time.Duration(r.rng.ExpFloat64()/perSecond*float64(time.Second)), func() {
-			if r.now < until {
-				r.open(r.now, 0)
+		r.After(time.Duration(r.rng.ExpFloat64()/perSecond*float64(time.Second)), func() {
+			if r.Now() < until {
+				r.open(r.Now(), 0)
 				next()
 			}
 		})
@@ -164,7 +161,7 @@
 		return
 	}
 	r.total++
-	if ok && r.now-began <= replayObjective {
+	if ok && r.Now()-began <= replayObjective {
 		r.inTime++
 	}
 }
@@ -186,7 +183,7 @@
 		if opened {
 			return
 		}
-		d := b.syn(r.now, flow, copies)
+		d := b.syn(r.Now(), flow, copies)
 		if d.Verdict == Reset {
 			opened = true
 			failed()
@@ -197,12 +194,12 @@
 		}
 		t := r.byID[d.Target.ID]
 		r.countPlacement(t, copies)
-		r.at(hop, func() {
-			if t.silent(r.now) || opened {
+		r.After(hop, func() {
+			if t.silent(r.Now()) || opened {
 				return
 			}
 			opened = true
-			b.accept(r.now, flow, d)
+			b.accept(r.Now(), flow, d)
 			requests := 1
 			if r.rng.Intn(4) == 0 {
 				requests = 3
@@ -211,9 +208,9 @@
 		})
 	}
 	first(0)
-	r.at(200*ms, func() { first(1) })
-	r.at(600*ms, func() { first(2) })
-	r.at(1400*ms, func() {
+	r.After(200*ms, func() { first(1) })
+	r.After(600*ms, func() { first(2) })
+	r.After(1400*ms, func() {
 		if !opened {
 			opened = true
 			failed()
@@ -229,7 +226,7 @@
 		if !w.watched || !w.active {
 			continue
 		}
-		age := int((r.now - w.watchedFrom) / ageBucket)
+		age := int((r.Now() - w.watchedFrom) / ageBucket)
 		if age >= ageBuckets {
 			continue
 		}
@@ -244,20 +241,20 @@
 func (r *paceReplay) request(b *fixture, flow FlowID, token uint32, t *replayedTarget, began time.Duration, seq uint32, left int, failed func()) {
 	done := false
 	answer := func(ok bool) {
-		if done || t.silent(r.now) {
+		if done || t.silent(r.Now()) {
 			return
 		}
 		done = true
 		last := !ok || left == 1
-		b.Handle(r.now, &Segment{Flow: flow, ACK: true, FIN: last, Seq: seq + 10, Ack: seq + 1000, Token: token})
+		b.Handle(r.Now(), &Segment{Flow: flow, ACK: true, FIN: last, Seq: seq + 10, Ack: seq + 1000, Token: token})
 		if !ok {
 			failed()
 			return
 		}
 		r.finish(began, true)
 		if !last {
-			r.at(time.Second, func() {
-				next := r.now
+			r.After(time.Second, func() {
+				next := r.Now()
 				r.request(b, flow, token, t, next, seq+10, left-1, func() { r.open(next, 1) })
 			})
 		}
@@ -267,19 +264,19 @@
 		if done || sent {
 			return // the target acknowledged the request
 		}
-		b.data(r.now, flow, token, seq, seq+399, 10)
-		if !t.silent(r.now) {
+		b.data(r.Now(), flow, token, seq, seq+399, 10)
+		if !t.silent(r.Now()) {
 			sent = true
 			r.serve(t, answer)
 		}
 	}
 	send()
-	r.at(200*ms, send)
-	r.at(600*ms, send)
-	r.at(1400*ms, func() {
-		if !done && !sent || !done && t.silent(r.now) {
+	r.After(200*ms, send)
+	r.After(600*ms, send)
+	r.After(1400*ms, func() {
+		if !done && !sent || !done && t.silent(r.Now()) {
 			done = true
-			b.Handle(r.now, &Segment{Flow: flow, RST: true, Seq: seq + 10, Token: token})
+			b.Handle(r.Now(), &Segment{Flow: flow, RST: true, Seq: seq + 10, Token: token})
 			failed()
 		}
 	})
@@ -287,42 +284,19 @@
 
 // serve runs a request at a target.
 func (r *paceReplay) serve(t *replayedTarget, answer func(ok bool)) {
-	if r.now < t.watchedFrom+replayNew {
-		t.most = max(t.most, t.running+len(t.waiting)+1)
-	}
-	if t.running >= replaySlots && len(t.waiting) >= replayQueue {
-		t.rejected++
-		r.at(hop, func() { answer(false) })
-		return
+	if r.Now() < t.watchedFrom+replayNew {
+		t.most = max(t.most, t.Requests()+1)
 	}
-	run := func() {
-		t.running++
+	work := func() time.Duration {
 		speed := t.speed
-		if r.now < t.coldUntil {
+		if r.Now() < t.coldUntil {
 			speed *= replayCold
 		}
-		r.at(time.Duration((0.5+r.rng.Float64())*speed*float64(replayWork)), func() {
-			t.running--
-			answer(true)
-			if len(t.waiting) > 0 {
-				next := t.waiting[0]
-				t.waiting = t.waiting[1:]
-				next()
-			}
-		})
-	}
-	if t.running < replaySlots {
-		run()
-		return
+		return time.Duration((0.5 + r.rng.Float64()) * speed * float64(replayWork))
 	}
-	t.waiting = append(t.waiting, run)
-}
-
-func (r *paceReplay) run(until time.Duration) {
-	for len(r.events) > 0 && r.events[0].at < until {
-		e := heap.Pop(&r.events).(event)
-		r.now = e.at
-		e.do()
+	if !t.Serve(&r.Clock, work, func() { answer(true) }) {
+		t.rejected++
+		r.After(hop, func() { answer(false) })
 	}
 }
 
@@ -380,7 +354,7 @@
 			r.start(fmt.Sprintf("i-%d", n), 1, 0)
 		}
 		for n, old := range slices.Clone(r.targets) {
-			r.at(4*time.Second+time.Duration(n)*400*ms, func() {
+			r.After(4*time.Second+time.Duration(n)*400*ms, func() {
 				r.watch(r.start(fmt.Sprintf("i-new-%d", n), 1, replayWarmUp))
 				r.drain(old)
 			})
@@ -391,7 +365,7 @@
 			t := r.start(fmt.Sprintf("i-%d", n), 1, 0)
 			if n%10 == 0 {
 				t.silentFrom, t.silentUntil = 6*time.Second, 9*time.Second
-				r.at(t.silentUntil, func() { r.watch(t) })
+				r.After(t.silentUntil, func() { r.watch(t) })
 			}
 		}
 	}, true},
@@ -399,7 +373,7 @@
 		for n := range replayTargets {
 			t := r.start(fmt.Sprintf("i-%d", n), 1, 0)
 			if n%3 == 0 {
-				r.at(5*time.Second, func() {
+				r.After(5*time.Second, func() {
 					t.speed = 6
 					r.watch(t)
 				})
@@ -419,7 +393,7 @@
 			t := r.start(fmt.Sprintf("i-%d", n), 1, 0)
 			if n%10 == 0 {
 				t.silentFrom, t.silentUntil = 6*time.Second, time.Hour
-				r.at(t.silentFrom, func() { r.watch(t) })
+				r.After(t.silentFrom, func() { r.watch(t) })
 			}
 		}
 	}, false},
@@ -436,7 +410,7 @@
 	set(r)
 	r.begin()
 	r.arrive(use, replayEnd)
-	r.run(replayEnd + 3*time.Second)
+	r.RunUntil(replayEnd + 3*time.Second)
 	return r.result()
 }
 
--- a/internal/overload/replay_test.go
+++ b/internal/overload/replay_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"math/rand"
 	"strings"
@@ -12,6 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"guavaloom.example/guavaloom/internal/view"
+	"guavaloom.example/guavaloom/internal/virtualtime"
 )
 
 // The replays run the decision in virtual time against a model of targets, instances and
@@ -29,26 +29,6 @@
 	answerTimeout = 1200 * ms // as forwarding's responseTimeout
 )
 
-type step struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type steps []step
-
-func (s steps) Len() int { return len(s) }
-func (s steps) Less(i, j int) bool {
-	return s[i].at < s[j].at || s[i].at == s[j].at && s[i].seq < s[j].seq
-}
-func (s steps) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
-func (s *steps) Push(e any)   { *s = append(*s, e.(step)) }
-func (s *steps) Pop() any {
-	last := (*s)[len(*s)-1]
-	*s = (*s)[:len(*s)-1]
-	return last
-}
-
 // simClass is a class of the replayed load.
 type simClass struct {
 	Class
@@ -66,9 +46,8 @@
 }
 
 type simTarget struct {
-	slots, running int
-	slow           float64
-	queue          []func()
+	virtualtime.Server
+	slow float64
 }
 
 // observed is what an instance knows of a target.
@@ -93,9 +72,7 @@
 }
 
 type replay struct {
-	now       time.Duration
-	steps     steps
-	seq       int
+	virtualtime.Clock
 	rng       *rand.Rand
 	on        bool
 	assumed   int
@@ -129,10 +106,10 @@
 func newReplay(s scenario, on bool, seed int64) *replay {
 	r := &replay{rng: rand.New(rand.NewSource(seed)), on: on, classes: s.classes, assumed: cmp.Or(s.assumed, s.instances)}
 	for n := range s.targets {
-		t := &simTarget{slots: s.slots, slow: 1}
+		t := &simTarget{virtualtime.Server{Slots: s.slots, Queue: targetQueue}, 1}
 		if n < s.slowTargets {
-			r.after(s.slowFrom, func() { t.slow = s.slowFactor })
-			r.after(s.slowTo, func() { t.slow = 1 })
+			r.After(s.slowFrom, func() { t.slow = s.slowFactor })
+			r.After(s.slowTo, func() { t.slow = 1 })
 		}
 		r.targets = append(r.targets, t)
 	}
@@ -146,23 +123,14 @@
 	r.arrived, r.admitted = make([]int, len(s.classes)), make([]int, len(s.classes))
 	r.decisions, r.fullDecisions = make([]int, s.seconds+3), make([]int, s.seconds+3)
 	r.arrivals(s)
-	for len(r.steps) > 0 {
-		e := heap.Pop(&r.steps).(step)
-		r.now = e.at
-		e.do()
-	}
+	r.Run()
 	return r
 }
 
-func (r *replay) after(d time.Duration, do func()) {
-	r.seq++
-	heap.Push(&r.steps, step{r.now + d, r.seq, do})
-}
-
 func (r *replay) arrivals(s scenario) {
-	rate := s.rate(r.now)
-	r.after(time.Duration(r.rng.ExpFloat64()/rate*float64(time.Second)), func() {
-		if r.now >= time.Duration(s.seconds)*time.Second {
+	rate := s.rate(r.Now())
+	r.After(time.Duration(r.rng.ExpFloat64()/rate*float64(time.Second)), func() {
+		if r.Now() >= time.Duration(s.seconds)*time.Second {
 			return
 		}
 		pick, class := r.rng.Float64(), 0
@@ -171,7 +139,7 @@
 			class++
 		}
 		r.clients++
-		q := &request{class: class, began: r.now, addr: [4]byte{100, byte(r.clients >> 16), byte(r.clients >> 8), byte(r.clients)}}
+		q := &request{class: class, began: r.Now(), addr: [4]byte{100, byte(r.clients >> 16), byte(r.clients >> 8), byte(r.clients)}}
 		if r.rng.Float64() < oneShotShare {
 			r.attempt(q)
 		} else { // on a long flow, which was placed long before
@@ -190,8 +158,8 @@
 	r.arrived[q.class]++
 	if !r.admit(i, q) {
 		q.lastReset = true
-		i.clients.Reject(r.now, q.addr)
-		r.after(linkTime, func() { r.retry(q) })
+		i.clients.Reject(r.Now(), q.addr)
+		r.After(linkTime, func() { r.retry(q) })
 		return
 	}
 	q.lastReset = false
@@ -213,11 +181,11 @@
 // admit decides with the rule that is replayed.
 func (r *replay) admit(i *simInstance, q *request) bool {
 	c := &r.classes[q.class]
-	f := Flow{Class: c.Class, Objective: c.objective, Deadline: c.deadline, Repeated: i.clients.Rejected(r.now, q.addr)}
+	f := Flow{Class: c.Class, Objective: c.objective, Deadline: c.deadline, Repeated: i.clients.Rejected(r.Now(), q.addr)}
 	var limit time.Duration
 	if r.on {
-		i.service.Arrive(r.now, f)
-		limit = i.service.MaxLatency(r.now, f)
+		i.service.Arrive(r.Now(), f)
+		limit = i.service.MaxLatency(r.Now(), f)
 	} else if c.Kind == view.Idempotent && c.Priority != view.HighestPriority {
 		limit = time.Duration(0.4 * float64(c.objective))
 	}
@@ -225,24 +193,24 @@
 	for n := range i.observed {
 		o := &i.observed[n]
 		l.InFlight += o.busy
-		l.Slots += r.targets[n].slots
-		if o.latency > limit && r.now <= o.latencyAt+time.Second {
+		l.Slots += r.targets[n].Slots
+		if o.latency > limit && r.Now() <= o.latencyAt+time.Second {
 			l.Late++
 		}
 	}
 	if !r.on {
 		return limit == 0 || 2*l.Late <= l.Targets || l.InFlight*l.Instances < l.Slots
 	}
-	ok := i.service.Admits(r.now, f, l)
-	r.decisions[int(r.now/time.Second)]++
+	ok := i.service.Admits(r.Now(), f, l)
+	r.decisions[int(r.Now()/time.Second)]++
 	if i.service.Full() {
-		r.fullDecisions[int(r.now/time.Second)]++
+		r.fullDecisions[int(r.Now()/time.Second)]++
 	}
 	outcome := Admitted
 	if !ok {
 		outcome = Rejected
 	}
-	i.service.Finish(r.now, f, outcome)
+	i.service.Finish(r.Now(), f, outcome)
 	return ok
 }
 
@@ -251,7 +219,7 @@
 	i, t := r.instances[at], r.targets[target]
 	o := &i.observed[target]
 	o.busy++
-	sent := r.now
+	sent := r.Now()
 	counted := true
 	uncount := func() {
 		if counted {
@@ -259,11 +227,11 @@
 			o.busy--
 		}
 	}
-	r.after(answerTimeout, uncount)
+	r.After(answerTimeout, uncount)
 	answer := func(ran bool) {
-		r.after(linkTime, func() {
+		r.After(linkTime, func() {
 			if counted {
-				r.observe(i, o, q, r.now-sent)
+				r.observe(i, o, q, r.Now()-sent)
 			}
 			uncount()
 			if !ran {
@@ -274,28 +242,12 @@
 			r.finish(q)
 		})
 	}
-	r.after(linkTime, func() {
-		if t.running >= t.slots && len(t.queue) >= targetQueue {
-			r.after(notRunTime, func() { answer(false) })
-			return
+	r.After(linkTime, func() {
+		work := func() time.Duration {
+			return time.Duration((0.5 + r.rng.Float64()) * float64(r.classes[q.class].work) * t.slow)
 		}
-		run := func() {
-			t.running++
-			work := time.Duration((0.5 + r.rng.Float64()) * float64(r.classes[q.class].work) * t.slow)
-			r.after(work, func() {
-				t.running--
-				answer(true)
-				if len(t.queue) > 0 {
-					next := t.queue[0]
-					t.queue = t.queue[1:]
-					next()
-				}
-			})
-		}
-		if t.running < t.slots {
-			run()
-		} else {
-			t.queue = append(t.queue, run)
+		if !t.Serve(&r.Clock, work, func() { answer(true) }) {
+			r.After(notRunTime, func() { answer(false) })
 		}
 	})
 }
@@ -303,11 +255,11 @@
 // observe updates what the instance knows of a target as forwarding does.
 func (r *replay) observe(i *simInstance, o *observed, q *request, took time.Duration) {
 	if r.on {
-		if !i.service.Answer(r.now, r.classes[q.class].Class, took) {
+		if !i.service.Answer(r.Now(), r.classes[q.class].Class, took) {
 			return
 		}
 	}
-	o.latencyAt = r.now
+	o.latencyAt = r.Now()
 	if o.latency == 0 {
 		o.latency = took
 		return
@@ -319,7 +271,7 @@
 func (r *replay) retry(q *request) {
 	c := &r.classes[q.class]
 	wait := time.Duration((0.5 + r.rng.Float64()) * float64(retryDelay))
-	if q.attempts >= 3 || r.now+wait >= q.began+c.deadline {
+	if q.attempts >= 3 || r.Now()+wait >= q.began+c.deadline {
 		if c := r.tally(q); q.lastReset {
 			c.rejected++
 		} else {
@@ -327,11 +279,11 @@
 		}
 		return
 	}
-	r.after(wait, func() { r.attempt(q) })
+	r.After(wait, func() { r.attempt(q) })
 }
 
 func (r *replay) finish(q *request) {
-	c, took := &r.classes[q.class], r.now-q.began
+	c, took := &r.classes[q.class], r.Now()-q.began
 	switch t := r.tally(q); {
 	case took <= c.objective:
 		t.inTime++
