forwarding: tests of both admission rules share their loads

Cause: three tests of admission by class repeated the load of a test of the rule by latency. Change: TestFlowsNotRejectedWithoutNeed, TestOverloadSpillsToRemoteTargets and TestRetransmittedFirstPacketIsNotRejected run with both rules; their copies ...ByClass are gone. Every check of the copies remains: no rejection of the highest priority, at most 2 % with slow requests; at most 1 % rejected and 97 % in time while remote targets are free, some placed elsewhere; Overloaded, then Placed for the retransmission, the client and no other one counted as rejected. Added: none rejected after the load by class.

--- a/internal/forwarding/admission_test.go
+++ b/internal/forwarding/admission_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"guavaloom.example/guavaloom/internal/overload"
 	"guavaloom.example/guavaloom/internal/service"
 	"guavaloom.example/guavaloom/internal/target"
 	"guavaloom.example/guavaloom/internal/view"
@@ -118,23 +119,24 @@
 	must.Eq(t, map[Reason]int{Overloaded: o.rejected[feedAddr]}, o.reasons)
 }
 
+// overloadSims creates a simulation, with recorded events if admission by class is on.
+type overloadSims func(targets, feedPriority int, work time.Duration) (*overloadSim, *overloadEvents)
+
 // Guards against rejecting flows without need: those of the highest priority, those at
 // targets with free slots whose requests are slow, and those after the overload has ended.
 func TestFlowsNotRejectedWithoutNeed(t *testing.T) {
-	t.Run("most urgent", func(t *testing.T) {
-		o := newOverloadSim(4, view.HighestPriority, feedWork)
+	withBothRules(t, func(t *testing.T, sim overloadSims) {
+		o, _ := sim(4, view.HighestPriority, feedWork)
 		o.arrive(feedAddr, 400, 5*time.Second)
 		o.Run()
 		must.MapEmpty(t, o.reasons)
-	})
-	t.Run("slow work", func(t *testing.T) {
-		o := newOverloadSim(4, 2, 5*feedWork)
+
+		o, _ = sim(4, 2, 5*feedWork)
 		o.arrive(feedAddr, 25, 20*time.Second) // 5 of 12 slots
 		o.Run()
 		must.LessEq(t, 0.02*25*20, float64(o.rejected[feedAddr]))
-	})
-	t.Run("after the load", func(t *testing.T) {
-		o := newOverloadSim(4, 2, feedWork)
+
+		o, _ = sim(4, 2, feedWork)
 		o.arrive(feedAddr, 500, 5*time.Second)
 		o.Run()
 		must.Positive(t, o.rejected[feedAddr])
@@ -148,26 +150,38 @@
 // Load pattern: one data centre is overloaded, the other lightly loaded. Guards against
 // rejecting flows while remote targets are free.
 func TestOverloadSpillsToRemoteTargets(t *testing.T) {
-	o := newOverloadSim(2, 2, feedWork)
-	for n := range 4 {
-		o.put(0, o.entry(target.ID(fmt.Sprintf("i-far-%d", n)), service.ID("booking"), "b"))
-	}
-	const perSecond, seconds = 300, 10 // 12 of 18 slots
-	o.arrive(feedAddr, perSecond, seconds*time.Second)
-	o.Run()
-	must.LessEq(t, 0.01*perSecond*seconds, float64(o.rejected[feedAddr]))
-	must.Greater(t, 0.97*perSecond*seconds, float64(o.inTime[feedAddr]))
+	withBothRules(t, func(t *testing.T, sim overloadSims) {
+		o, e := sim(2, 2, feedWork)
+		for n := range 4 {
+			o.put(0, o.entry(target.ID(fmt.Sprintf("i-far-%d", n)), service.ID("booking"), "b"))
+		}
+		const perSecond, seconds = 300, 10 // 12 of 18 slots
+		o.arrive(feedAddr, perSecond, seconds*time.Second)
+		o.Run()
+		must.LessEq(t, 0.01*perSecond*seconds, float64(o.rejected[feedAddr]))
+		must.Greater(t, 0.97*perSecond*seconds, float64(o.inTime[feedAddr]))
+		if e != nil {
+			must.Positive(t, e.outcomes[overload.Elsewhere])
+		}
+	})
 }
 
 // Guards against resetting a flow on a retransmitted first packet whose original has opened
-// the flow through another instance.
+// the flow through another instance, and against treating other clients' flows as repeated
+// attempts.
 func TestRetransmittedFirstPacketIsNotRejected(t *testing.T) {
-	o := newOverloadSim(4, 2, feedWork)
-	o.arrive(feedAddr, 500, 2*time.Second)
-	for o.rejected[feedAddr] == 0 {
-		o.Step()
-	}
-	flow := FlowID{client(7), feedAddr}
-	must.Eq(t, Overloaded, o.syn(o.Now(), flow, 0).Reason)
-	must.Eq(t, Placed, o.syn(o.Now(), flow, 1).Reason)
+	withBothRules(t, func(t *testing.T, sim overloadSims) {
+		o, e := sim(4, 2, feedWork)
+		o.arrive(feedAddr, 500, 2*time.Second)
+		for o.rejected[feedAddr] == 0 {
+			o.Step()
+		}
+		flow := FlowID{client(7), feedAddr}
+		must.Eq(t, Overloaded, o.syn(o.Now(), flow, 0).Reason)
+		if e != nil {
+			must.True(t, o.overload.clients.Rejected(o.Now()+time.Second, flow.Client.Addr))
+			must.False(t, o.overload.clients.Rejected(o.Now(), client(8).Addr))
+		}
+		must.Eq(t, Placed, o.syn(o.Now(), flow, 1).Reason)
+	})
 }
--- a/internal/forwarding/overload_test.go
+++ b/internal/forwarding/overload_test.go
@@ -40,6 +40,17 @@
 	return o, withOverload(o.fixture)
 }
 
+// withBothRules runs a test with the rule in admission.go and with admission by class; there are
+// no events with the former.
+func withBothRules(t *testing.T, test func(t *testing.T, sim overloadSims)) {
+	t.Run("by latency", func(t *testing.T) {
+		test(t, func(targets, feedPriority int, work time.Duration) (*overloadSim, *overloadEvents) {
+			return newOverloadSim(targets, feedPriority, work), nil
+		})
+	})
+	t.Run("by class", func(t *testing.T) { test(t, newOverloadSimByClass) })
+}
+
 // Load pattern: 2.2 times the capacity for 10 s, a third of it bookings, which take half of the
 // slots. Guards against bookings that find full queues, against idle slots, and against a
 // service that stays full after the load.
@@ -64,34 +75,6 @@
 	must.Zero(t, o.FullServices())
 }
 
-// Guards against rejecting flows without need with admission by class: those of the highest
-// priority, and those at targets with free slots whose requests are slow.
-func TestFlowsNotRejectedWithoutNeedByClass(t *testing.T) {
-	o, _ := newOverloadSimByClass(4, view.HighestPriority, feedWork)
-	o.arrive(feedAddr, 400, 5*time.Second)
-	o.Run()
-	must.MapEmpty(t, o.reasons)
-	o, _ = newOverloadSimByClass(4, 2, 5*feedWork)
-	o.arrive(feedAddr, 25, 20*time.Second) // 5 of 12 slots
-	o.Run()
-	must.LessEq(t, 0.02*25*20, float64(o.rejected[feedAddr]))
-}
-
-// Load pattern: one data centre is overloaded, the other lightly loaded. Guards against
-// rejecting flows with admission by class while remote targets are free.
-func TestOverloadSpillsToRemoteTargetsByClass(t *testing.T) {
-	o, e := newOverloadSimByClass(2, 2, feedWork)
-	for n := range 4 {
-		o.put(0, o.entry(target.ID(fmt.Sprintf("i-far-%d", n)), service.ID("booking"), "b"))
-	}
-	const perSecond, seconds = 300, 10 // 12 of 18 slots
-	o.arrive(feedAddr, perSecond, seconds*time.Second)
-	o.Run()
-	must.LessEq(t, 0.01*perSecond*seconds, float64(o.rejected[feedAddr]))
-	must.Greater(t, 0.97*perSecond*seconds, float64(o.inTime[feedAddr]))
-	must.Positive(t, e.outcomes[overload.Elsewhere])
-}
-
 // Load pattern: the own data centre is evacuated and the targets of the other one are
 // overloaded. Guards against filling the remote queues with requests of the lowest priority.
 func TestEvacuatedDataCentreRejectsByClass(t *testing.T) {
@@ -122,21 +105,6 @@
 	must.Eq(t, map[Reason]int{Evacuated: after.rejected[feedAddr]}, after.reasons)
 }
 
-// Guards against resetting a flow on a retransmitted first packet, and against treating other
-// clients' flows as repeated attempts.
-func TestRetransmittedFirstPacketIsNotRejectedByClass(t *testing.T) {
-	o, _ := newOverloadSimByClass(4, 2, feedWork)
-	o.arrive(feedAddr, 500, 2*time.Second)
-	for o.rejected[feedAddr] == 0 {
-		o.Step()
-	}
-	flow := FlowID{client(7), feedAddr}
-	must.Eq(t, Overloaded, o.syn(o.Now(), flow, 0).Reason)
-	must.True(t, o.overload.clients.Rejected(o.Now()+time.Second, flow.Client.Addr))
-	must.False(t, o.overload.clients.Rejected(o.Now(), client(8).Addr))
-	must.Eq(t, Placed, o.syn(o.Now(), flow, 1).Reason)
-}
-
 // BenchmarkPlaceLargeFleet places flows at 3,000 targets in 16 data centres that 300 instances
 // share, while the service is full. Stated bound: 10 us and no allocation for a decision.
 func BenchmarkPlaceLargeFleet(b *testing.B) {
