forwarding: answer sizes of former routes are dropped once the table is full

Change: a tick at which the table is full drops the endpoints without a route. Result: TestAnswerSizesOfFormerRoutesAreDropped failed and passes.

--- a/internal/forwarding/answers.go
+++ b/internal/forwarding/answers.go
@@ -1,6 +1,7 @@
 package forwarding
 
 import (
+	"maps"
 	"time"
 
 	"guavaloom.example/guavaloom/internal/view"
@@ -72,6 +73,13 @@
 	return a.refused(bytes)
 }
 
+// pruneAnswerSizes drops the answer sizes of endpoints without a route once the table is full.
+func (f *Forwarder) pruneAnswerSizes() {
+	if len(f.answerSizes) >= maxAnswerSizes {
+		maps.DeleteFunc(f.answerSizes, func(e view.Endpoint, _ *answerSizes) bool { return f.View.Route(e) == nil })
+	}
+}
+
 // recordRefusal records that the target refused a request or failed it.
 func (l *targetLoad) recordRefusal(now time.Duration) {
 	l.refusedAt = now
--- a/internal/forwarding/answers_test.go
+++ b/internal/forwarding/answers_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -72,3 +73,18 @@
 	must.GreaterEq(t, 75, count(false)["i-1"])
 	must.LessEq(t, 30+25, count(true)["i-1"])
 }
+
+// Guards against routes of earlier configurations that fill the table of answer sizes for good, so
+// that refusals on later routes are not noticed.
+func TestAnswerSizesOfFormerRoutesAreDropped(t *testing.T) {
+	b := newFixture()
+	b.limits.DetectRefusals = true
+	for n := range maxAnswerSizes {
+		b.isRefusal(client(n), 1000)
+	}
+	b.Tick(time.Second)
+	b.isRefusal(bookingAddr, 1000)
+	must.MapContainsKey(t, b.answerSizes, bookingAddr)
+	b.Tick(2 * time.Second)
+	must.MapContainsKey(t, b.answerSizes, bookingAddr)
+}
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -591,6 +591,7 @@
 	f.flows.expireRequests(now, func(s *flowState) { f.requestUnanswered(now, s) }, func(s *flowState) { f.paceWait(now, s) })
 	f.tickPaces(now)
 	f.tickOverload(now)
+	f.pruneAnswerSizes()
 	var out []ResetFlow
 	for id, state := range f.flows.flows {
 		if f.ended(now, state.load.target) && state.opened {
