--- a/internal/forwarding/explain_test.go
+++ b/internal/forwarding/explain_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"guavaloom.example/guavaloom/internal/target"
+	"guavaloom.example/guavaloom/internal/view"
 )
 
 // Guards against an explanation that differs from the placement that follows, or that changes
@@ -46,6 +47,13 @@
 	must.Eq(t, []any{before.earned, before.targets, before.meanIdle}, []any{z.pacing.earned, z.pacing.targets, z.pacing.meanIdle})
 }
 
+// Guards against an explanation that rejects a flow while its first packet would be held.
+func TestExplanationBeforeTheViewIsComplete(t *testing.T) {
+	b := &fixture{events: &events{}}
+	b.Forwarder = New("a", limits, view.New(viewLimits), b.events)
+	must.Eq(t, Decision{Verdict: Hold, Reason: NotReady}, b.Explain(0, flowTo(bookingAddr, 1)).Decision)
+}
+
 // Guards against an explanation that hides why nothing can be chosen.
 func TestExplanationOfRejections(t *testing.T) {
 	b := newFixture()
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -161,15 +161,15 @@
 		}
 		f.loads[t.ID] = l
 	}
-	listed := l.target != nil
-	if listed && (l.service != t.Service || l.zone != t.Zone) {
+	first := l.target == nil
+	moved := !first && (l.service != t.Service || l.zone != t.Zone)
+	restarted := !first && l.incarnation != t.Incarnation
+	if moved {
 		f.removeFromService(l)
-		listed = false
 	}
-	first, restarted := l.target == nil, l.target != nil && l.incarnation != t.Incarnation
 	l.setTarget(t)
-	l.pace.markChange(t, first, restarted, !f.View.Complete())
-	if !listed {
+	l.pace.markChange(t, first, restarted || moved, !f.View.Complete())
+	if first || moved {
 		f.addToService(l)
 	}
 }
@@ -236,6 +236,22 @@
 	f.lastActivityAt = now
 }
 
+// beforeStall reports whether a flow's request was sent before the process last stalled, so that
+// the time until its answer says nothing about the target.
+func (f *Forwarder) beforeStall(s *flowState) bool { return s.newDataAt < f.stallEndedAt }
+
+// requestUnanswered records a request without an answer. Failures before a recovery that cleared
+// them don't count.
+func (f *Forwarder) requestUnanswered(now time.Duration, s *flowState) {
+	if f.beforeStall(s) {
+		return
+	}
+	if s.newDataAt >= s.load.pace.forgivenAt {
+		s.load.recordOutcome(now, false)
+	}
+	f.paceOutcome(now, s.load, s.newDataAt, false)
+}
+
 // handleFirst places the first packet of a flow, or a retransmission of it. A packet that may
 // have waited in a stall is not rejected: its flow may be open through another instance.
 func (f *Forwarder) handleFirst(now time.Duration, s *Segment) Decision {
@@ -361,10 +377,12 @@
 // the route are tried in order, starting with the share that the flow hashes to.
 func (f *Forwarder) choosePlacement(now time.Duration, s *Segment, r *view.Route, exclude *targetLoad, c *chooser, targets func(service.ID) *serviceTargets) (out placement) {
 	first := pickShare(r.Shares, s.Flow.Hash())
+	// A copy that the network made of a first packet is not marked, but its original was forwarded.
+	retransmitted := s.Ack > 0 || exclude != nil
 	p := &out.params
-	*p = flowParams{route: r, exclude: exclude, maxLatency: latencyLimit(r, s.Ack > 0)}
-	p.flow, p.byClass = f.overloadParams(now, s, r)
-	if f.linkFull(now, s, r) {
+	*p = flowParams{route: r, exclude: exclude, maxLatency: latencyLimit(r, retransmitted)}
+	p.flow, p.byClass = f.overloadParams(now, s, r, retransmitted)
+	if !retransmitted && f.linkFull(now, r) {
 		out.rejection = Decision{Verdict: Reset, Reason: LinkFull, Route: r}
 		return out
 	}
@@ -382,7 +400,7 @@
 			return out
 		}
 	}
-	out.rejection = f.noTarget(now, r, s.Ack > 0, excluded)
+	out.rejection = f.noTarget(now, r, retransmitted, excluded)
 	return out
 }
 
@@ -524,11 +542,13 @@
 	}
 	if state.busy {
 		took := now - state.newDataAt
-		if f.requestRan(now, s.Flow, state.load, took) {
-			state.load.recordLatency(now, took)
+		if !f.beforeStall(state) { // else the answer may have waited here
+			if f.requestRan(now, s.Flow, state.load, took) {
+				state.load.recordLatency(now, took)
+			}
+			f.paceOutcome(now, state.load, state.newDataAt, true)
 		}
 		state.load.recordOutcome(now, true)
-		f.paceOutcome(now, state.load, state.newDataAt, true)
 		f.observer.ObserveSpan(Answer, took)
 		if state.sawFirstPacket && !state.answered {
 			f.observer.ObserveSpan(FirstAnswer, now-state.firstPacketAt)
@@ -579,9 +599,10 @@
 		idle = defaultIdleTimeout
 	}
 	f.flows.expireIdle(now, idle)
-	f.flows.expireRequests(now, func(s *flowState) { f.paceOutcome(now, s.load, s.newDataAt, false) }, func(s *flowState) { f.paceWait(now, s) })
+	f.flows.expireRequests(now, func(s *flowState) { f.requestUnanswered(now, s) }, func(s *flowState) { f.paceWait(now, s) })
 	f.tickPaces(now)
 	f.tickOverload(now)
+	f.pruneAnswerSizes()
 	var out []ResetFlow
 	for id, state := range f.flows.flows {
 		if f.ended(now, state.load.target) && state.opened {
