--- a/internal/forwarding/overload.go
+++ b/internal/forwarding/overload.go
@@ -63,9 +63,10 @@
 }
 
 // linkFull reports whether a new flow must be rejected because the instance's link has no room
-// for it. It must not be asked for a retransmitted first packet, whose original may have opened the flow.
+// for it. It must not be asked for a retransmitted first packet, whose original may have opened
+// the flow. Flows of the highest priority are never rejected.
 func (f *Forwarder) linkFull(now time.Duration, r *view.Route) bool {
-	return f.overload != nil && !f.overload.link.Admits(now, r.Kind)
+	return f.overload != nil && r.Priority != view.HighestPriority && !f.overload.link.Admits(now, r.Kind)
 }
 
 // arrive records a new flow and returns the latency above which targets are late for it.
--- a/internal/forwarding/overload_test.go
+++ b/internal/forwarding/overload_test.go
@@ -151,3 +151,16 @@
 	must.Eq(t, LinkFull, o.syn(150*ms, flowTo(feedAddr, 8), 0).Reason)
 	must.Eq(t, Moved, o.syn(150*ms, upload, 0).Reason)
 }
+
+// Load pattern: the instance's own link is full. Guards against rejecting uploads of the highest
+// priority, and against admitting others.
+func TestFullLinkSparesTheHighestPriority(t *testing.T) {
+	b := newFixture()
+	withOverload(b)
+	b.overload.link.Rate = 1000
+	b.overload.link.Use(0, 0, 100_000)
+	b.put(0, b.entry("i-1", "proofing", "a"))
+	must.Eq(t, Placed, b.syn(0, flowTo(proofingAddr, 1), 0).Reason) // priority 0
+	b.View.Route(proofingAddr).Priority = 2
+	must.Eq(t, LinkFull, b.syn(0, flowTo(proofingAddr, 2), 0).Reason)
+}
