edge: entries of instances that were removed for good are deleted

The others check them without end, count them in the shares of cold targets, in the load of the data centre and in the pages of a first list, and send them reports.

Cause: nothing of ours expires in the store, and an instance does not know at its end whether it will start again. After a restore of the store it was worse: an instance that the restored store lacked was kept by the others for ever.

Change: each instance checks its neighbour, the next one that answers in a ring over the ranks of its data centre, each 5 s, so that one of them finds each that failed at the cost of one check an instance. It deletes the entry, under its version, of an instance between it and its neighbour that has not answered for 30 s and in four attempts. One that is deleted by mistake registers again, as after a restore. Instances that a restored store lacked and that have not registered again after 30 s are dropped. An entry with an instance's own address is not followed (it would follow itself) and is deleted.

TestRemovedInstancesAreForgotten: nine of nine entries deleted with one call each, none of the living. TestReturnAfterTheEntryWasRemoved: an instance that stood still for 50 s is back in the list within 10 s. TestShortAbsenceKeepsTheEntry: no deletion for absences of 15 s.

--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -112,7 +112,7 @@
 	case i.platform.TargetKind:
 		i.applyTarget(now, name, source, o, restored)
 	case i.platform.InstanceKind:
-		i.applyInstance(name, o, restored)
+		i.applyInstance(now, name, o, restored)
 	case i.platform.EvacuationKind:
 		i.applyEvacuation(now, name, source, o, restored)
 	}
@@ -199,9 +199,11 @@
 	i.log.Event(viewClass, "entry unreadable", logrus.Fields{logfield.Kind: kind, logfield.Target: name, logfield.Error: err.Error()})
 }
 
-func (i *Instance) applyInstance(name string, o objectstore.Object, restored bool) {
+func (i *Instance) applyInstance(now time.Duration, name string, o objectstore.Object, restored bool) {
 	if o.Deleted {
-		if !restored { // else the instance registers again, and serves meanwhile
+		if restored { // the instance registers again, and serves meanwhile
+			i.registry.markLost(now, name)
+		} else {
 			i.registry.remove(name)
 		}
 		return
--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -611,6 +612,117 @@
 	})
 }
 
+// Guards against entries of removed instances that stay in the store for ever, and against the
+// removal of living instances' entries or by more calls than one for each.
+func TestRemovedInstancesAreForgotten(t *testing.T) {
+	runFleet(t, func(f *virtualFleet) {
+		names := ranked("a", 12)
+		living := map[int]bool{3: true, 4: true, 9: true}
+		want := []string{"b-0", "c-0"}
+		for _, name := range want {
+			f.start(name, name[:1])
+		}
+		for n, name := range names {
+			if living[n] {
+				want = append(want, name)
+				f.start(name, "a")
+			} else {
+				f.removed(name, "a")
+			}
+		}
+		slices.Sort(want)
+		time.Sleep(instanceExpiry - time.Second)
+		must.Len(t, len(names)+2, f.store.names("instances"))
+		time.Sleep(30 * time.Second)
+		must.Eq(t, want, f.store.names("instances"))
+		for _, i := range f.instances {
+			must.Eq(t, len(want), i.registry.size())
+			must.Eq(t, 0, i.registry.failedPeers())
+		}
+		must.Eq(t, len(names)-len(living), f.store.deletes)
+		f.mustLearnChanges(10, slices.Collect(maps.Values(f.instances))...)
+	})
+}
+
+// Guards against an instance that stays out of the list after it was taken for removed, because
+// it stood still or was cut off for longer than entries are kept.
+func TestReturnAfterTheEntryWasRemoved(t *testing.T) {
+	for _, rank := range []int{0, 1, 2} {
+		t.Run(fmt.Sprint(rank), func(t *testing.T) {
+			runFleet(t, func(f *virtualFleet) {
+				f.start("b-0", "b")
+				f.start("c-0", "c")
+				var all []*Instance
+				for _, name := range ranked("a", 3) {
+					all = append(all, f.start(name, "a"))
+				}
+				time.Sleep(10 * time.Second)
+				f.lose(all[rank], frozen)
+				time.Sleep(instanceExpiry + 20*time.Second)
+				must.Len(t, 4, f.store.names("instances"))
+				f.mustLearnChanges(10, slices.Delete(slices.Clone(all), rank, rank+1)...)
+				f.lose(all[rank], reachable)
+				time.Sleep(10 * time.Second)
+				must.Len(t, 5, f.store.names("instances"))
+				for _, i := range all {
+					must.Eq(t, 5, i.registry.size())
+				}
+				f.mustLearnChanges(10, all...)
+			})
+		})
+	}
+}
+
+// Guards against entries that are removed although their instances only restart, stand still or
+// are cut off for a short time, and against an instance that is not used again afterwards.
+func TestShortAbsenceKeepsTheEntry(t *testing.T) {
+	runFleet(t, func(f *virtualFleet) {
+		f.start("b-0", "b")
+		f.start("c-0", "c")
+		var all []*Instance
+		for _, name := range ranked("a", 4) {
+			all = append(all, f.start(name, "a"))
+		}
+		time.Sleep(10 * time.Second)
+		for _, i := range all {
+			f.lose(i, frozen)
+			time.Sleep(instanceExpiry / 2)
+			f.lose(i, reachable)
+			time.Sleep(2 * maxPeerRetryDelay)
+			for n, other := range all {
+				must.Eq(t, n == 0, other.readsStore(other.now()), must.Sprintf("rank %d", n))
+			}
+		}
+		must.Eq(t, 0, f.store.deletes)
+	})
+}
+
+// Guards against removed instances that a restored store lacks, or has again, and that the others
+// keep for ever.
+func TestRestoredStoreAndRemovedInstances(t *testing.T) {
+	runFleet(t, func(f *virtualFleet) {
+		names := ranked("a", 4)
+		f.removed(names[0], "a")
+		one := f.start(names[1], "a")
+		two := f.start(names[2], "a")
+		f.start("b-0", "b")
+		f.start("c-0", "c")
+		time.Sleep(10 * time.Second)
+		f.store.restore(func(key string) bool { return key == "instances/"+names[0] || key == "instances/"+names[2] })
+		f.removed(names[3], "a")
+		time.Sleep(5 * time.Second)
+		must.SliceContains(t, f.store.names("instances"), names[2]) // it registered again
+		time.Sleep(2 * instanceExpiry)
+		want := []string{names[1], names[2], "b-0", "c-0"}
+		slices.Sort(want)
+		must.Eq(t, want, f.store.names("instances"))
+		for _, i := range f.instances {
+			must.Eq(t, 4, i.registry.size())
+		}
+		f.mustLearnChanges(10, one, two)
+	})
+}
+
 // Guards against followers that all call the store when their parent is lost or restarts, and
 // against one that keeps calling it when a parent sends changes again.
 func TestLostParentMakesNoReaders(t *testing.T) {
@@ -637,3 +749,21 @@
 		}
 	})
 }
+
+// Guards against an instance that follows itself, since an entry of an earlier instance has its
+// address and ranks before it, and against such an entry that stays.
+func TestAddressOfAnEarlierInstance(t *testing.T) {
+	runFleet(t, func(f *virtualFleet) {
+		f.start("b-0", "b")
+		f.start("c-0", "c")
+		names := ranked("a", 3)
+		first := f.start(names[1], "a")
+		second := f.start(names[2], "a")
+		value, err := virtualEntries{}.InstanceValue("a", second.settings.Peer)
+		must.NoError(t, err)
+		f.store.set("instances/"+names[0], value)
+		time.Sleep(20 * time.Second)
+		f.mustLearnChanges(10, first, second)
+		must.False(t, slices.Contains(f.store.names("instances"), names[0]))
+	})
+}
--- a/internal/edge/membership.go
+++ b/internal/edge/membership.go
@@ -4,13 +4,17 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/sirupsen/logrus"
 
 	"guavaloom.example/guavaloom/internal/logfield"
 	"guavaloom.example/guavaloom/internal/metric"
+	"guavaloom.example/guavaloom/internal/objectstore"
 )
 
-// watchPeers checks other instances, so that one that failed is used again once it answers.
+// watchPeers checks other instances and removes the entries of those that were removed for good.
+// Nothing in the store expires by itself, and an instance does not know at its end whether it
+// will start again.
 func (i *Instance) watchPeers(ctx context.Context) {
 	role := ""
 	for {
@@ -22,10 +26,40 @@
 			continue
 		}
 		i.queryConcurrently(ctx, i.registry.peersToCheck(i.now()))
+		i.removeExpired(ctx)
 		role = i.reportRole(i.now(), role)
 	}
 }
 
+// removeExpired removes the entry of an instance that has expired, if there is one.
+func (i *Instance) removeExpired(ctx context.Context) {
+	now := i.now()
+	i.registry.removeLost(now)
+	names := i.registry.expired(now)
+	if len(names) == 0 {
+		return
+	}
+	name := names[0]
+	key := i.platform.InstanceKind + "/" + name
+	o, _, listed := i.replica.Get(i.platform.InstanceKind, key)
+	if !listed {
+		i.registry.remove(name)
+		return
+	}
+	err := i.platform.Store.Delete(ctx, key, o.Version)
+	fields := logrus.Fields{logfield.Peer: name, logfield.Epoch: o.Version.Epoch(), logfield.Version: o.Version.Revision()}
+	switch {
+	case err == nil, errors.Is(err, objectstore.ErrNotFound):
+		i.registry.remove(name)
+		i.metrics.Counter(metric.EdgeExpiredPeers, "").Inc(1)
+		i.log.Event(viewClass, "instance does not answer, its entry was removed", fields)
+	default: // it registered again, another instance was faster, or the store did not answer
+		fields[logfield.Error] = err.Error()
+		i.log.Event(viewClass, "entry of an instance that does not answer was not removed", fields)
+		sleep(ctx, registerRetryDelay)
+	}
+}
+
 // Sources of changes by role.
 const (
 	readerRole   = "reader"
--- a/internal/edge/peer_health.go
+++ b/internal/edge/peer_health.go
@@ -9,13 +9,19 @@
 
 const (
 	// peerRetryDelay is how long after its first failure an instance is tried again. The delay
-	// doubles with each further failure, up to maxPeerRetryDelay.
+	// doubles with each further failure, up to maxPeerRetryDelay, so that instances that were
+	// removed cost little until their entries are.
 	peerRetryDelay    = 1500 * time.Millisecond
 	maxPeerRetryDelay = 6 * time.Second
 	// neighbourCheckInterval is how often an instance checks the next one of its data centre.
 	neighbourCheckInterval = 5 * time.Second
 	// maxChecks bounds the instances that are checked at the same time.
 	maxChecks = 4
+	// instanceExpiry is how long an instance must not have answered for its entry to be removed,
+	// and expiryFailures at how many attempts: a suspended process finds the time passed without
+	// any. One that is removed by mistake, since it was cut off for longer, registers again.
+	instanceExpiry = 30 * time.Second
+	expiryFailures = 4
 )
 
 // health records how an address answered. The zero value is that of one that was never tried.
@@ -23,8 +29,9 @@
 	// answered means that the last attempt was answered, failures counts those since then.
 	answered bool
 	failures int
-	// triedAt is the time of the last attempt or message.
-	triedAt time.Duration
+	// failedSince is the time of the first failure since the last answer, triedAt that of the
+	// last attempt or message.
+	failedSince, triedAt time.Duration
 }
 
 func (h health) failed() bool { return h.failures > 0 }
@@ -34,12 +41,19 @@
 	return h.triedAt + min(peerRetryDelay<<min(h.failures-1, 10), maxPeerRetryDelay)
 }
 
+// expired reports whether a failed instance is to be taken as removed for good.
+func (h health) expired(now time.Duration) bool {
+	return h.failures >= expiryFailures && now >= h.failedSince+instanceExpiry
+}
+
 // recordFailure records that an instance did not answer and reports whether it had not failed before.
 func (r *registry) recordFailure(now time.Duration, addr netip.AddrPort) (lost bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	h := r.recordAttempt(now, addr)
-	lost = !h.failed()
+	if lost = !h.failed(); lost {
+		h.failedSince = now
+	}
 	h.answered = false
 	h.failures++
 	return lost
@@ -60,7 +74,8 @@
 func (r *registry) recordRefusal(now time.Duration, addr netip.AddrPort) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.recordAttempt(now, addr)
+	h := r.recordAttempt(now, addr)
+	h.failedSince = now
 }
 
 func (r *registry) recordAttempt(now time.Duration, addr netip.AddrPort) *health {
@@ -149,3 +164,38 @@
 	}
 	return ring[:first+1]
 }
+
+// expired returns the names of the instances whose entries this one removes: those of its data
+// centre between it and its neighbour that have not answered for instanceExpiry, and those with
+// its own address.
+func (r *registry) expired(now time.Duration) (names []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.successors() {
+		if r.healthOf(p.addr).expired(now) {
+			names = append(names, p.name)
+		}
+	}
+	for _, p := range r.byName {
+		if r.hasOwnAddress(p) {
+			names = append(names, p.name)
+		}
+	}
+	return names
+}
+
+// removeLost removes the instances that a restored store lacked and that have not registered
+// again for instanceExpiry. Their entries are gone, so that nobody else removes them.
+func (r *registry) removeLost(now time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var lost []string
+	for _, p := range r.byName {
+		if p.lost && now >= p.lostAt+instanceExpiry {
+			lost = append(lost, p.name)
+		}
+	}
+	for _, name := range lost {
+		r.removeLocked(name)
+	}
+}
--- a/internal/edge/registry.go
+++ b/internal/edge/registry.go
@@ -33,6 +33,10 @@
 	name, zone string
 	addr       netip.AddrPort
 	score      uint64
+	// lostAt is when a restored store lacked the entry; valid if lost is set. The instance
+	// registers again if it still runs.
+	lost   bool
+	lostAt time.Duration
 }
 
 // registry holds the known instances: the seeds from the settings and the instances
@@ -82,12 +86,22 @@
 		return
 	}
 	if p := r.byName[name]; p != nil && p.zone == zone && p.addr == addr {
+		p.lost = false
 		return
 	}
 	r.removeLocked(name)
 	r.insert(newPeer(name, zone, addr))
 }
 
+// markLost records that a restored store lacks the entry of an instance.
+func (r *registry) markLost(now time.Duration, name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p := r.byName[name]; p != nil && p != r.self && !p.lost {
+		p.lost, p.lostAt = true, now
+	}
+}
+
 func (r *registry) remove(name string) {
 	if name == r.self.name {
 		return
--- a/internal/metric/names.go
+++ b/internal/metric/names.go
@@ -58,5 +58,6 @@
 	EdgeColdFlows     = Declaration{"guavaloom_edge_cold_flows_total", "flows", "Flows affected by the allowance of cold targets: held_back from a cold target and placed elsewhere, or refused.", Counter, "outcome"}
 	EdgeEvacuated     = Declaration{"guavaloom_edge_evacuated_flows_total", "flows", "New flows placed elsewhere because the instance's own data centre is evacuated, and new flows refused because of an evacuation, by outcome.", Counter, "outcome"}
 	EdgeFailedPeers   = Declaration{"guavaloom_edge_failed_instances", "instances", "Registered instances that did not answer this one's last attempt.", Gauge, ""}
+	EdgeExpiredPeers  = Declaration{"guavaloom_edge_expired_instances_total", "instances", "Entries of instances that did not answer for long and that this one removed.", Counter, ""}
 	EdgeUnreadable    = Declaration{"guavaloom_edge_unreadable_total", "entries", "Entries of the store that could not be read, by kind.", Counter, "kind"}
 )
