--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -194,11 +194,17 @@
 	i.log.Add(changeClass, record)
 }
 
+// maxLoggedBytes bounds the logged part of a text that may quote an entry of another writer.
+const maxLoggedBytes = 300
+
 func (i *Instance) reportUnreadable(kind, name string, err error) {
 	i.metrics.Counter(metric.EdgeUnreadable, kind).Inc(1)
-	i.log.Event(viewClass, "entry unreadable", logrus.Fields{logfield.Kind: kind, logfield.Target: name, logfield.Error: err.Error()})
+	i.log.Event(viewClass, "entry unreadable", logrus.Fields{logfield.Kind: kind, logfield.Target: clip(name), logfield.Error: clip(err.Error())})
 }
 
+// clip returns the first maxLoggedBytes of a text.
+func clip(text string) string { return text[:min(len(text), maxLoggedBytes)] }
+
 func (i *Instance) applyInstance(now time.Duration, name string, o objectstore.Object, restored bool) {
 	if o.Deleted {
 		if restored { // the instance registers again, and serves meanwhile
