forwarding: a target is forgotten by one owner, and not while it may be given flows

Cause: the view forgot a removed target after a set time, on the premise that none of its flows can be open. While the store is down a removed target is a last choice for new flows. Its load was dropped, the flows were not, and the next tick looked up the load by the target's ID.

Change: View.Forget keeps a target while it may be given flows, or while a restored store has an entry of it that waits to count; it returns what it dropped. Forwarder.forget drops all that is kept under the ID, and the same tick removes its flows, with a reset for open ones. Flows ask their own load whether the target ended.

--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -194,12 +194,23 @@
 	}
 }
 
-// pruneLoads drops the loads of targets that the view has forgotten.
-func (f *Forwarder) pruneLoads() {
-	for id, l := range f.loads {
-		if f.View.Target(id) == nil {
+// load returns the load of a target of the view.
+func (f *Forwarder) load(t *view.Target) *targetLoad {
+	if l := f.loads[t.ID]; l != nil {
+		return l
+	}
+	f.UpdateTarget(t) // its change was not applied, as when processing it panicked
+	return f.loads[t.ID]
+}
+
+// forget drops all that is kept under the IDs of targets that the view has forgotten. The flows
+// that are left of them are dropped by the caller.
+func (f *Forwarder) forget(targets []*view.Target) {
+	for _, t := range targets {
+		if l := f.loads[t.ID]; l != nil {
+			l.forgotten = true
 			f.removeFromService(l)
-			delete(f.loads, id)
+			delete(f.loads, t.ID)
 		}
 	}
 }
@@ -268,7 +279,7 @@
 		}
 	} else if state.opened || !f.silentSince(now, state) {
 		// The target's answer may be in transit, and a second target must not answer too.
-		if !f.ended(now, state.load.target) {
+		if !f.ended(now, state.load) {
 			state.lastSeenAt = now
 			f.useAllowance(now, state.load) // the original may have been lost
 			return f.forwardTo(state.load, r, Repeated, 0)
@@ -319,10 +330,11 @@
 	if t == nil {
 		return f.unknownToken(now, s)
 	}
-	if !f.ended(now, t) {
-		f.observe(now, s, f.loads[t.ID])
+	l := f.load(t)
+	if !f.ended(now, l) {
+		f.observe(now, s, l)
 	}
-	if f.ended(now, t) { // the packet just observed may have shown it
+	if f.ended(now, l) { // the packet just observed may have shown it
 		return f.endFlow(s, t)
 	}
 	return Decision{Verdict: Forward, Target: t}
@@ -331,8 +343,8 @@
 // ended reports whether a target is known to have ended: its entry was removed and did not
 // return in time, or it was removed and the target did not respond before a client
 // retransmitted a packet.
-func (f *Forwarder) ended(now time.Duration, t *view.Target) bool {
-	return f.View.Ended(now, t) || t.Removed && f.loads[t.ID].silent
+func (f *Forwarder) ended(now time.Duration, l *targetLoad) bool {
+	return l.target.Removed && (l.forgotten || l.silent || f.View.Ended(now, l.target))
 }
 
 // endFlow resets a flow whose target has ended, so that the client can retry.
@@ -385,16 +397,19 @@
 	f.tickPaces(now)
 	f.tickOverload(now)
 	f.pruneAnswerSizes()
+	f.forget(f.View.Forget(now))
 	var out []ResetFlow
 	for id, state := range f.flows.flows {
-		if f.ended(now, state.load.target) && state.opened {
+		if !f.ended(now, state.load) {
+			continue
+		}
+		if state.opened {
 			out = append(out, ResetFlow{id, state.ack, state.load.target})
+		}
+		if state.opened || state.load.forgotten {
 			f.flows.remove(id, state)
 		}
 	}
-	if f.View.Forget(now) {
-		f.pruneLoads()
-	}
 	for token, since := range f.unknownTokens {
 		if now >= since+defaultIdleTimeout {
 			delete(f.unknownTokens, token)
--- a/internal/forwarding/load.go
+++ b/internal/forwarding/load.go
@@ -42,6 +42,9 @@
 	// service and zone are the service and data centre under which the target is listed.
 	service service.ID
 	zone    string
+	// forgotten is set when the view has forgotten the target. Flows refer to the load itself, so
+	// that they find this in place of a missing one.
+	forgotten bool
 	// incarnation identifies the target's run to which the observations apply.
 	incarnation int64
 	// opening, open and busy count flows: those whose first packet is unanswered, open
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -225,18 +225,19 @@
 	return t.Removed && !v.mayReturn(now, t)
 }
 
-// Forget drops targets that were removed so long ago that none of their flows can be open,
-// and reports whether there were any.
-func (v *View) Forget(now time.Duration) (dropped bool) {
+// Forget drops targets that were removed so long ago that none of their earlier flows can be
+// open, and returns them. One that may return is kept, since it may be given flows now, and so is
+// one of which a restored store has an entry.
+func (v *View) Forget(now time.Duration) (dropped []*Target) {
 	for id, t := range v.targets {
-		if t.Removed && now >= t.RemovedAt+v.limits.ForgetAfter {
+		if v.Ended(now, t) && t.claim == nil && now >= t.RemovedAt+v.limits.ForgetAfter {
 			delete(v.targets, id)
-			if v.tokens[t.Token] == t {
-				delete(v.tokens, t.Token)
-			}
-			dropped = true
+			dropped = append(dropped, t)
 		}
 	}
+	for _, t := range dropped {
+		v.releaseToken(t)
+	}
 	return dropped
 }
 
@@ -250,6 +251,24 @@
 	return token
 }
 
+// releaseToken passes the token of a forgotten target to the known one that shares it, if any.
+func (v *View) releaseToken(forgotten *Target) {
+	if v.tokens[forgotten.Token] != forgotten {
+		return
+	}
+	delete(v.tokens, forgotten.Token)
+	var heir *Target
+	for _, t := range v.targets {
+		if t.Token == forgotten.Token && (heir == nil || t.ID < heir.ID) {
+			heir = t
+		}
+	}
+	if heir != nil {
+		heir.TokenConflict = false
+		v.tokens[heir.Token] = heir
+	}
+}
+
 // assignToken makes the target the owner of its token. If two targets share a token, on all
 // instances the one with the smaller ID owns it and the other accepts no new flows.
 func (v *View) assignToken(t *Target) {
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -126,9 +126,9 @@
 	v := New(limits)
 	v.Put(0, entry("i-1"), 5)
 	v.Remove(0, "i-1", 6)
-	must.False(t, v.Forget(60*time.Second))
+	must.SliceEmpty(t, v.Forget(60*time.Second))
 	must.NotNil(t, v.ByToken(TokenOf("i-1")))
-	must.True(t, v.Forget(limits.ForgetAfter))
+	must.Len(t, 1, v.Forget(limits.ForgetAfter))
 	must.Nil(t, v.ByToken(TokenOf("i-1")))
 	must.Nil(t, v.Target("i-1"))
 }
@@ -163,3 +163,39 @@
 		must.NotEq(t, 0, TokenOf(id))
 	}
 }
+
+// Guards against a target that gets no new flows for ever because the one that shared its token,
+// and was forgotten, still counts as the owner.
+func TestTokenOfAForgottenTarget(t *testing.T) {
+	v := New(limits)
+	for n, id := range []target.ID{"i-1", "i-2", "i-3"} {
+		v.Put(0, entry(id), uint64(n+1))
+		delete(v.tokens, v.Target(id).Token) // the tokens differ; a shared one is set up by hand
+		v.Target(id).Token = 7
+		v.assignToken(v.Target(id))
+	}
+	v.Remove(0, "i-1", 9)
+	v.TargetsFreshAt = limits.ForgetAfter
+	must.Len(t, 1, v.Forget(limits.ForgetAfter))
+	must.True(t, v.ByToken(7) == v.Target("i-2"))
+	must.True(t, v.AcceptsNewFlows(limits.ForgetAfter, v.Target("i-2")))
+	must.False(t, v.AcceptsNewFlows(limits.ForgetAfter, v.Target("i-3")))
+}
+
+// Guards against forgetting a target that may be given flows, since the store is down and its
+// entry may return, or whose entry a restored store has.
+func TestForgetKeepsWhatMayReturn(t *testing.T) {
+	v := New(limits)
+	v.Put(0, entry("i-1"), 5)
+	v.Remove(0, "i-1", 6)
+	v.OutageAt = limits.ForgetAfter - time.Second
+	v.TargetsFreshAt = limits.ForgetAfter
+	must.SliceEmpty(t, v.Forget(limits.ForgetAfter))
+	must.True(t, v.AcceptsNewFlows(limits.ForgetAfter, v.Target("i-1")))
+	_, change := v.PutRestored(limits.ForgetAfter, entry("i-1"), 7)
+	must.Eq(t, Unchanged, change)
+	after := limits.ForgetAfter + limits.ReturnGrace
+	must.SliceEmpty(t, v.Forget(after))
+	v.Settle(limits.ForgetAfter+limits.RestoreGrace, func(_ *Target, c Change) { change = c })
+	must.Eq(t, Returned, change)
+}
