edge: log records and counters share no state without the lock

What callers could see: a process that ends by itself.

Cause: a log record of a decision held a pointer to the target and was encoded by the log's goroutine, while entries of the store changed the target. A string that is read while it is written can have the address of one and the length of the other. The resets of a tick were counted after the lock was released, in the map that packets use under it: concurrent writes of a map end a Go process, which no recover can prevent.

Evidence: TestTickBesidePackets with the race detector reports on a write in View.update and a read in decisionRecord.Encode. The second fault is read from the code; no run showed it.

Change: records have copies of what they write, made under the lock; resets are recorded under it and sent after it.

--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -357,8 +357,8 @@
 	i.counters.fullServices.Update(float64(i.forward.FullServices()))
 	i.logReadinessChange()
 	i.mu.Unlock()
-	for _, r := range resets {
-		i.sendReset(r)
+	if len(resets) > 0 {
+		i.resetFlows(resets)
 	}
 	for _, kind := range i.replica.Kinds() {
 		if age, ok := i.replica.Age(now, kind); ok {
--- a/internal/edge/packets.go
+++ b/internal/edge/packets.go
@@ -95,13 +95,24 @@
 	return netip.AddrPortFrom(netip.AddrFrom4(f.Client.Addr), i.settings.Packet.Port())
 }
 
-// sendReset resets a flow whose target has ended.
-func (i *Instance) sendReset(r forwarding.ResetFlow) {
+// recordResets counts and logs the resets of flows whose targets have ended.
+func (i *Instance) recordResets(flows []forwarding.ResetFlow) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, r := range flows {
+		d := forwarding.Decision{Verdict: forwarding.Reset, Reason: forwarding.TargetEnded, Target: r.Target}
+		i.counters.count(d)
+		i.log.Add(flowClass, newDecisionRecord(r.Flow, &d))
+	}
+}
+
+// resetFlows resets flows whose targets have ended.
+func (i *Instance) resetFlows(flows []forwarding.ResetFlow) {
+	i.recordResets(flows)
 	var header [forwarding.MaxHeader]byte
-	d := forwarding.Decision{Verdict: forwarding.Reset, Reason: forwarding.TargetEnded, Target: r.Target}
-	i.counters.count(d)
-	i.log.Add(flowClass, &decisionRecord{flow: r.Flow, decision: d, configAge: -1})
-	i.write(i.platform.Codec.PutReset(header[:], r.Flow, r.Seq), i.clientAddr(r.Flow))
+	for _, r := range flows {
+		i.write(i.platform.Codec.PutReset(header[:], r.Flow, r.Seq), i.clientAddr(r.Flow))
+	}
 }
 
 // record logs a decision with its inputs: for first packets, resets, drops and the
@@ -110,10 +121,8 @@
 	switch {
 	case d.Reason != "":
 		v := i.forward.View
-		r := &decisionRecord{
-			flow: s.Flow, decision: *d, config: v.Config().Version,
-			configAge: now - v.ConfigFreshAt, targetAge: now - v.TargetsFreshAt,
-		}
+		r := newDecisionRecord(s.Flow, d)
+		r.config, r.configAge, r.targetAge = v.Config().Version, now-v.ConfigFreshAt, now-v.TargetsFreshAt
 		if d.Verdict != forwarding.Hold {
 			i.counters.configAge.Observe(r.configAge)
 			i.counters.targetAge.Observe(r.targetAge)
@@ -124,9 +133,8 @@
 		if request == "" {
 			return
 		}
-		i.log.Add(requestClass, &decisionRecord{
-			flow: s.Flow, decision: *d, request: request,
-			configAge: -1, targetAge: now - i.forward.View.TargetsFreshAt,
-		})
+		r := newDecisionRecord(s.Flow, d)
+		r.request, r.targetAge = request, now-i.forward.View.TargetsFreshAt
+		i.log.Add(requestClass, r)
 	}
 }
--- a/internal/edge/recover_test.go
+++ b/internal/edge/recover_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -18,6 +19,8 @@
 	"guavaloom.example/guavaloom/internal/logfield"
 	"guavaloom.example/guavaloom/internal/objectstore"
 	"guavaloom.example/guavaloom/internal/packet"
+	"guavaloom.example/guavaloom/internal/service"
+	"guavaloom.example/guavaloom/internal/target"
 	"guavaloom.example/guavaloom/internal/targetreport"
 	"guavaloom.example/guavaloom/internal/view"
 )
@@ -170,3 +173,108 @@
 	must.True(t, i.mu.TryLock(), must.Sprint("the lock is still held"))
 	i.mu.Unlock()
 }
+
+// newListedInstance returns a test instance that has listed two targets and a configuration.
+func newListedInstance(t *testing.T, out *bytes.Buffer) *Instance {
+	t.Helper()
+	i := newTestInstance(t, out)
+	i.platform.Entries = listedPlatform{}
+	i.applyListing(0, "config", storeSource, objectstore.Listing{Version: confirmed(t, 1), Objects: []objectstore.Object{
+		{Key: "config/main", Version: confirmed(t, 1), Value: []byte("{}")},
+	}}, true)
+	i.applyListing(0, "targets", storeSource, objectstore.Listing{Version: confirmed(t, 3), Objects: []objectstore.Object{
+		{Key: "targets/i-1", Version: confirmed(t, 2), Value: []byte("{}")}, {Key: "targets/i-2", Version: confirmed(t, 3), Value: []byte("{}")},
+	}}, true)
+	return i
+}
+
+// listedPlatform decodes the entries of newListedInstance. Targets whose entry is "bad" panic.
+type listedPlatform struct{ failingPlatform }
+
+// listedEndpoint is the endpoint of the only route.
+var listedEndpoint = view.Endpoint{Addr: [4]byte{198, 18, 0, 1}, Port: 443}
+
+func (listedPlatform) Target(name string, value []byte) (view.TargetEntry, error) {
+	if bytes.HasPrefix(value, []byte("bad")) {
+		panic("entry")
+	}
+	return view.TargetEntry{
+		ID: target.ID(name), Key: 1, Service: service.ID("booking" + string(value[2:])), Zone: "a", Slots: 1,
+		Addr: netip.MustParseAddrPort("127.0.0.1:9"),
+	}, nil
+}
+
+func (listedPlatform) Config(string, []byte) (view.Config, []error, error) {
+	return view.Config{Version: 1, Routes: []view.Route{
+		{Name: "r", Endpoint: listedEndpoint, Shares: []view.Share{{Service: "booking", Weight: 1}}},
+	}}, nil, nil
+}
+
+// Guards against a tick that shares state with packets or with the log without a lock: concurrent
+// writes of a map end the process. It finds that with the race detector.
+func TestTickBesidePackets(t *testing.T) {
+	packets, err := packet.Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"), 1)
+	must.NoError(t, err)
+	for range 50 { // each instance counts an outcome for the first time
+		var out bytes.Buffer
+		i := newListedInstance(t, &out)
+		i.packets, i.platform.Codec = packets, flowCodec{}
+		tickBesidePackets(t, i)
+		i.log.Flush()
+		must.StrNotContains(t, out.String(), "work skipped")
+	}
+}
+
+func tickBesidePackets(t *testing.T, i *Instance) {
+	var all sync.WaitGroup
+	often := func(work func(n int)) {
+		all.Go(func() {
+			for n := range 20 {
+				work(n)
+				time.Sleep(50 * time.Microsecond)
+			}
+		})
+	}
+	often(func(n int) {
+		for kind := range byte(2) {
+			var header [forwarding.MaxHeader]byte
+			i.mu.Lock()
+			i.handlePacket(i.now(), i.now(), []byte{byte(n), kind}, func(netip.AddrPort, []byte, []byte) {}, header[:])
+			i.mu.Unlock()
+		}
+	})
+	often(func(n int) {
+		version := confirmed(t, uint64(10+n))
+		o := objectstore.Object{Key: "targets/i-1", Version: version, Value: []byte("{}" + strings.Repeat("x", n%2)), Deleted: n%3 == 0}
+		i.applyListing(i.now(), "targets", storeSource, objectstore.Listing{Version: version, Objects: []objectstore.Object{o}}, false)
+	})
+	often(func(int) {
+		i.tick()
+		i.resetFlows([]forwarding.ResetFlow{{Target: i.forwardTarget("i-2")}})
+	})
+	often(func(int) { i.log.Flush() })
+	all.Wait()
+}
+
+// forwardTarget returns a target of the view.
+func (i *Instance) forwardTarget(id target.ID) *view.Target {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.forward.View.Target(id)
+}
+
+// flowCodec decodes two bytes as a packet of a flow: its number, and 0 for the first packet, 1 for
+// the second.
+type flowCodec struct{}
+
+func (flowCodec) Decode(b []byte) (s forwarding.Segment, ok bool) {
+	s = forwarding.Segment{Flow: forwarding.FlowID{Client: view.Endpoint{Addr: [4]byte{127, 0, 0, 9}, Port: uint16(b[0]) + 1}, Service: listedEndpoint}, Seq: 1}
+	if s.SYN = b[1] == 0; !s.SYN {
+		s.ACK, s.Token, s.Ack = true, view.TokenOf("i-1"), 9
+	}
+	return s, true
+}
+
+func (flowCodec) SetToken([]byte, uint32)                                      {}
+func (flowCodec) PutKey(header []byte, _ uint64) []byte                        { return header[:8] }
+func (flowCodec) PutReset(header []byte, _ forwarding.FlowID, _ uint32) []byte { return header[:8] }
--- a/internal/edge/telemetry.go
+++ b/internal/edge/telemetry.go
@@ -15,6 +15,7 @@
 	"guavaloom.example/guavaloom/internal/metric"
 	"guavaloom.example/guavaloom/internal/objectstore"
 	"guavaloom.example/guavaloom/internal/service"
+	"guavaloom.example/guavaloom/internal/target"
 	"guavaloom.example/guavaloom/internal/view"
 )
 
@@ -30,41 +31,61 @@
 	requestClass   = &eventlog.Class{Name: "request", Limit: 500}
 )
 
-// decisionRecord is the log line of a forwarding decision.
+// decisionRecord is the log line of a forwarding decision. It is written without Instance.mu, so
+// that it has copies of what may change.
 type decisionRecord struct {
-	flow     forwarding.FlowID
-	request  string
-	decision forwarding.Decision
-	config   uint64
+	flow    forwarding.FlowID
+	request string
+	verdict forwarding.Verdict
+	reason  forwarding.Reason
+	load    forwarding.LoadReport
+	// target and service are empty if the flow has no target, route if it has none.
+	target  target.ID
+	service service.ID
+	route   string
+	config  uint64
 	// configAge and targetAge are the ages of the view; negative if the decision
 	// did not use it.
 	configAge, targetAge time.Duration
 }
 
+// newDecisionRecord returns the record of a decision whose use of the view is not logged. The
+// caller holds Instance.mu.
+func newDecisionRecord(flow forwarding.FlowID, d *forwarding.Decision) *decisionRecord {
+	r := &decisionRecord{flow: flow, verdict: d.Verdict, reason: d.Reason, load: d.Load, configAge: -1}
+	if d.Target != nil {
+		r.target, r.service = d.Target.ID, d.Target.Service
+	}
+	if d.Route != nil {
+		r.route = d.Route.Name
+	}
+	return r
+}
+
 // Encode implements eventlog.Record.
 func (r *decisionRecord) Encode(l *eventlog.Line) {
 	l.Message("flow")
 	l.Text(logfield.Flow, r.flow.String())
-	l.Text(logfield.Verdict, r.decision.Verdict.String())
+	l.Text(logfield.Verdict, r.verdict.String())
 	if r.request != "" {
 		l.Text(logfield.Request, r.request)
 	}
-	if t := r.decision.Target; t != nil {
-		l.Text(logfield.Target, string(t.ID))
-		l.Text(logfield.Service, string(t.Service))
+	if r.target != "" {
+		l.Text(logfield.Target, string(r.target))
+		l.Text(logfield.Service, string(r.service))
 	}
-	if r.decision.Reason != "" {
-		l.Text(logfield.Reason, string(r.decision.Reason))
+	if r.reason != "" {
+		l.Text(logfield.Reason, string(r.reason))
 	}
-	if r.decision.Route != nil {
-		l.Text(logfield.Route, r.decision.Route.Name)
+	if r.route != "" {
+		l.Text(logfield.Route, r.route)
 	}
 	if r.configAge >= 0 {
 		l.Number(logfield.Config, int64(r.config))
 		l.Millis(logfield.ConfigAge, r.configAge)
 	}
 	l.Millis(logfield.TargetAge, r.targetAge)
-	if load := r.decision.Load; load.Candidates > 0 {
+	if load := r.load; load.Candidates > 0 {
 		l.Number(logfield.Candidates, int64(load.Candidates))
 		l.Number(logfield.Open, int64(load.Open))
 		l.Number(logfield.Busy, int64(load.Busy))
