edge: a panic skips the work that met it, and the state is rebuilt

A panic at a packet or an entry was skipped, but what it had half-changed stayed in use.

Cause: only packets, entries and reports recovered; ticks, readers, followers, registration and the log's writer did not, and nothing discarded state after a recovery.

The work of each goroutine begins anew after a second; a record that can't be encoded costs its own line.

--- a/internal/edge/apply.go
+++ b/internal/edge/apply.go
@@ -18,7 +18,7 @@
 // one lock, so that updates from two sources reach them in the same order. full means
 // that the listing has all objects of the kind.
 func (i *Instance) applyListing(now time.Duration, kind, source string, l objectstore.Listing, full bool) {
-	i.mu.Lock()
+	i.lockState()
 	defer i.mu.Unlock()
 	held := i.replica.Version(kind)
 	var u replica.Update
@@ -51,15 +51,29 @@
 	for _, o := range u.Objects {
 		i.applyObject(now, kind, source, o, u.Restored)
 	}
+	i.recordListed(now, kind, age, u.First)
+	if kind == i.platform.ConfigKind && l.Version.Epoch() > held.Epoch() && i.forward.View.OutageAt > 0 {
+		i.forward.View.ConfigRestoredAt = now
+	}
+	i.releaseHeld(now)
+	i.logReadinessChange()
+	if u.First {
+		i.log.Event(viewClass, "first list", logrus.Fields{
+			logfield.Kind: kind, logfield.Source: source, logfield.Count: len(u.Objects),
+			logfield.Epoch: l.Version.Epoch(), logfield.Version: l.Version.Revision(),
+		})
+	}
+}
+
+// recordListed records how old the state of a kind is that was applied; first means that all its
+// objects were applied for the first time.
+func (i *Instance) recordListed(now time.Duration, kind string, age time.Duration, first bool) {
 	switch kind {
 	case i.platform.ConfigKind:
 		i.forward.View.ConfigFreshAt = now - age
-		if l.Version.Epoch() > held.Epoch() && i.forward.View.OutageAt > 0 {
-			i.forward.View.ConfigRestoredAt = now
-		}
 	case i.platform.TargetKind:
 		i.forward.View.TargetsFreshAt = now - age
-		if u.First {
+		if first {
 			i.forward.View.MarkListed()
 		}
 	case i.platform.InstanceKind:
@@ -67,18 +81,10 @@
 		i.updateColdInstances(now)
 	case i.platform.EvacuationKind:
 		i.forward.View.EvacuationsFreshAt = now - age
-		if u.First {
+		if first {
 			i.forward.View.MarkEvacuationsListed()
 		}
 	}
-	i.releaseHeld(now)
-	i.logReadinessChange()
-	if u.First {
-		i.log.Event(viewClass, "first list", logrus.Fields{
-			logfield.Kind: kind, logfield.Source: source, logfield.Count: len(u.Objects),
-			logfield.Epoch: l.Version.Epoch(), logfield.Version: l.Version.Revision(),
-		})
-	}
 }
 
 // versionFields returns the log fields that compare the version of an answer with the one held.
--- a/internal/edge/explain.go
+++ b/internal/edge/explain.go
@@ -25,7 +25,7 @@
 		}
 		flow.Client = client
 	}
-	i.mu.Lock()
+	i.lockState()
 	defer i.mu.Unlock()
 	var err error
 	if flow.Service, err = i.routeEndpoint(query.Get("route")); err != nil {
--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -111,6 +111,8 @@
 	deferredToParent atomic.Bool
 	// instancesListed is closed when the first list of instances was received or failed.
 	instancesListed chan struct{}
+	// damaged is set while view and forwarder may be half-changed, since a panic was recovered.
+	damaged atomic.Bool
 	// stopped is closed when the instance starts to stop.
 	stopped chan struct{}
 
@@ -127,6 +129,9 @@
 	stopping    bool
 	// confirmed means that the view has matched the store's current state at least once.
 	confirmed bool
+	// rebuilds counts the rebuilds of view and forwarder after a panic, the last at rebuiltAt.
+	rebuilds  int
+	rebuiltAt time.Duration
 	// loggedReasons are the reasons in the last logged change of readiness; nil before the first.
 	loggedReasons []string
 }
@@ -151,16 +156,23 @@
 	i.timing.Forwarding.Overload = s.Overload
 	i.timing.Forwarding.LinkRate = s.LinkMbps * bytesPerMbit
 	i.timing.Forwarding.Pace = s.Pace
-	i.forward = forwarding.New(s.Zone, i.timing.Forwarding, view.New(i.timing.View), observer{i})
-	i.forward.View.SetRegions(s.Regions)
-	i.forward.SetColdLimits(s.Deployment.WarmUpOverage, s.Deployment.WarmUpSlack, rendezvous.Seed(s.Name))
-	if p.EvacuationKind != "" {
-		i.forward.View.RequireEvacuations()
+	i.forward = i.newForwarder()
+	return i
+}
+
+// newForwarder returns a forwarder with an empty view.
+func (i *Instance) newForwarder() *forwarding.Forwarder {
+	s := i.settings
+	f := forwarding.New(s.Zone, i.timing.Forwarding, view.New(i.timing.View), observer{i})
+	f.View.SetRegions(s.Regions)
+	f.SetColdLimits(s.Deployment.WarmUpOverage, s.Deployment.WarmUpSlack, rendezvous.Seed(s.Name))
+	if i.platform.EvacuationKind != "" {
+		f.View.RequireEvacuations()
 	}
 	if s.Reports.IsValid() {
-		i.forward.EnableReports()
+		f.EnableReports()
 	}
-	return i
+	return f
 }
 
 // kinds returns the kinds of objects that an instance reads.
@@ -206,7 +218,7 @@
 	i.startReading(runCtx)
 	i.startReports(runCtx)
 	go i.tickLoop(runCtx)
-	go i.watchSettings(runCtx, file, reload)
+	go i.keepRunning(runCtx, "settings", func(ctx context.Context) { i.watchSettings(ctx, file, reload) })
 	failed := make(chan error, 1)
 	go func() { failed <- i.packets.Run(runCtx, func(int) packet.Handler { return i.handlePackets }) }()
 	select {
@@ -278,7 +290,7 @@
 // notReadyReasons returns the reasons why the instance should receive no packets; none if
 // it is ready.
 func (i *Instance) notReadyReasons() []string {
-	i.mu.Lock()
+	i.lockState()
 	defer i.mu.Unlock()
 	return i.notReady()
 }
@@ -347,8 +359,22 @@
 }
 
 func (i *Instance) tick() {
+	defer i.recoverPanic("tick")
 	now := i.now()
-	i.mu.Lock()
+	if ended := i.tickState(now); len(ended) > 0 {
+		i.resetFlows(ended)
+	}
+	for _, kind := range i.replica.Kinds() {
+		if age, ok := i.replica.Age(now, kind); ok {
+			i.metrics.Gauge(metric.EdgeViewAge, kind).Update(milliseconds(age))
+		}
+	}
+}
+
+// tickState lets time pass for the view and the forwarder, and returns the flows to reset.
+func (i *Instance) tickState(now time.Duration) []forwarding.ResetFlow {
+	i.lockState()
+	defer i.mu.Unlock()
 	i.settleTargets(now)
 	i.settleEvacuations(now)
 	i.updateColdInstances(now)
@@ -356,15 +382,7 @@
 	i.counters.flows.Update(float64(i.forward.Flows()))
 	i.counters.fullServices.Update(float64(i.forward.FullServices()))
 	i.logReadinessChange()
-	i.mu.Unlock()
-	if len(resets) > 0 {
-		i.resetFlows(resets)
-	}
-	for _, kind := range i.replica.Kinds() {
-		if age, ok := i.replica.Age(now, kind); ok {
-			i.metrics.Gauge(metric.EdgeViewAge, kind).Update(milliseconds(age))
-		}
-	}
+	return resets
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/edge/packets.go
+++ b/internal/edge/packets.go
@@ -14,14 +14,16 @@
 
 // handlePackets handles the packets of a batch and queues the packets to send.
 func (i *Instance) handlePackets(b *packet.Batch) {
+	defer i.recoverPanic("packets")
 	var header [forwarding.MaxHeader]byte
-	i.mu.Lock()
+	i.lockState()
 	defer i.mu.Unlock()
 	now := i.now() // after the wait for the lock: packets leave after that
 	if len(b.In) > 0 {
 		i.lastPacketAt = now
 	}
 	for _, d := range b.In {
+		i.repairState() // the packet before may have met a fault
 		i.handlePacket(now, now, d.Data, func(to netip.AddrPort, header, body []byte) { b.Send(to, header, body) }, header[:])
 	}
 }
@@ -97,7 +99,7 @@
 
 // recordResets counts and logs the resets of flows whose targets have ended.
 func (i *Instance) recordResets(flows []forwarding.ResetFlow) {
-	i.mu.Lock()
+	i.lockState()
 	defer i.mu.Unlock()
 	for _, r := range flows {
 		d := forwarding.Decision{Verdict: forwarding.Reset, Reason: forwarding.TargetEnded, Target: r.Target}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -19,6 +19,7 @@
 // followParent follows the parent of this instance in the tree of its data centre,
 // while it has one.
 func (i *Instance) followParent(ctx context.Context) {
+	i.registry.recordUnfollowed(i.now()) // after a panic in an earlier run
 	full := false
 	for ctx.Err() == nil {
 		addr, ok := i.registry.parent()
--- a/internal/edge/recover_test.go
+++ b/internal/edge/recover_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -210,6 +211,81 @@
 	}}, nil, nil
 }
 
+// Guards against a process that ends, or goes on with half-changed state, after a panic in a tick, a
+// packet or an entry: view and forwarder are made anew from the replica before they are used again.
+func TestStateIsRebuiltAfterAPanic(t *testing.T) {
+	damage := map[string]func(i *Instance){
+		"tick": func(i *Instance) { i.forward = nil; i.tick() },
+		"packet": func(i *Instance) {
+			i.forward.View = nil
+			i.handlePackets(&packet.Batch{In: []packet.Datagram{{Data: []byte("bad")}}})
+		},
+		"entry": func(i *Instance) {
+			i.applyListing(0, "targets", storeSource, objectstore.Listing{Version: confirmed(t, 4), Objects: []objectstore.Object{
+				{Key: "targets/i-3", Version: confirmed(t, 4), Value: []byte("bad entry")},
+			}}, false)
+		},
+	}
+	for part, panics := range damage {
+		t.Run(part, func(t *testing.T) {
+			var out bytes.Buffer
+			i := newListedInstance(t, &out)
+			before := i.forward
+			panics(i)
+			must.True(t, i.damaged.Load())
+			must.SliceEmpty(t, i.notReadyReasons())
+			must.True(t, i.forward != before)
+			must.False(t, i.damaged.Load())
+			must.Eq(t, 1, i.rebuilds)
+			for _, id := range []target.ID{"i-1", "i-2"} {
+				must.NotNil(t, i.forward.View.Target(id))
+			}
+			must.NotNil(t, i.forward.View.Route(listedEndpoint))
+			i.tick()
+			must.Eq(t, 1, i.rebuilds)
+			i.log.Flush()
+			must.StrContains(t, out.String(), "work skipped after a failure of the program")
+			must.StrContains(t, out.String(), "state rebuilt from the replica after a failure of the program")
+		})
+	}
+}
+
+// Guards against an input that panics each time and takes the processor with rebuilds.
+func TestRebuildsAreBounded(t *testing.T) {
+	var out bytes.Buffer
+	i := newListedInstance(t, &out)
+	for range 100 {
+		i.handlePackets(&packet.Batch{In: []packet.Datagram{{Data: []byte("bad")}, {Data: []byte("bad")}}})
+	}
+	must.Eq(t, 1, i.rebuilds)
+	i.rebuiltAt -= rebuildInterval
+	i.handlePackets(&packet.Batch{In: []packet.Datagram{{Data: []byte("other")}}})
+	must.Eq(t, 2, i.rebuilds)
+}
+
+// Guards against a goroutine whose work ends for good after a panic, and against one that goes on
+// after the instance was stopped.
+func TestGoroutinesOutlastAPanic(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := newListedInstance(t, &bytes.Buffer{})
+		ctx, cancel := context.WithCancel(t.Context())
+		runs, ended := 0, make(chan struct{})
+		go func() {
+			defer close(ended)
+			i.keepRunning(ctx, "test", func(ctx context.Context) {
+				if runs++; runs < 3 {
+					panic("work")
+				}
+				<-ctx.Done()
+			})
+		}()
+		time.Sleep(10 * restartDelay)
+		cancel()
+		<-ended
+		must.Eq(t, 3, runs)
+	})
+}
+
 // Guards against a tick that shares state with packets or with the log without a lock: concurrent
 // writes of a map end the process. It finds that with the race detector.
 func TestTickBesidePackets(t *testing.T) {
@@ -238,7 +314,7 @@
 	often(func(n int) {
 		for kind := range byte(2) {
 			var header [forwarding.MaxHeader]byte
-			i.mu.Lock()
+			i.lockState()
 			i.handlePacket(i.now(), i.now(), []byte{byte(n), kind}, func(netip.AddrPort, []byte, []byte) {}, header[:])
 			i.mu.Unlock()
 		}
--- a/internal/edge/reports.go
+++ b/internal/edge/reports.go
@@ -90,7 +90,7 @@
 
 // observations returns what the forwarder has observed of targets.
 func (i *Instance) observations(now time.Duration) []targetreport.Entry {
-	i.mu.Lock()
+	i.lockState()
 	defer i.mu.Unlock()
 	return i.forward.Observations(now)
 }
@@ -135,7 +135,7 @@
 
 // addReport passes a report to the forwarder. It returns false for one that is not used.
 func (i *Instance) addReport(from netip.Addr, report targetreport.Report) bool {
-	i.mu.Lock()
+	i.lockState()
 	defer i.mu.Unlock()
 	return i.forward.AddReport(i.now(), from, report)
 }
--- a/internal/edge/status.go
+++ b/internal/edge/status.go
@@ -26,7 +26,7 @@
 		}
 		s.Kinds = append(s.Kinds, k)
 	}
-	i.mu.Lock()
+	i.lockState()
 	defer i.mu.Unlock()
 	s.Config, s.Flows = i.forward.View.Config().Version, i.forward.Flows()
 	for _, e := range i.forward.View.Evacuations() {
--- a/internal/edge/store_reader.go
+++ b/internal/edge/store_reader.go
@@ -49,6 +49,8 @@
 const (
 	storeSource = "store"
 	peerSource  = "peer"
+	// rebuildSource is the source of what is applied again after a failure of the program.
+	rebuildSource = "rebuild"
 	// restoredSource is the source of changes that a restored store showed earlier.
 	restoredSource = "restored"
 )
@@ -58,18 +60,20 @@
 func (i *Instance) startReading(ctx context.Context) {
 	for _, kind := range i.replica.Kinds() {
 		i.firstLists.Add(1)
-		go i.readStore(ctx, kind)
+		go func() {
+			i.guard("first list", func() { i.listInitially(ctx, kind) })
+			i.firstLists.Done()
+			i.keepRunning(ctx, "store reader", func(ctx context.Context) { i.readStore(ctx, kind) })
+		}()
 	}
-	go i.followParent(ctx)
-	go i.queryPeers(ctx)
-	go i.keepRegistered(ctx)
-	go i.watchPeers(ctx)
+	go i.keepRunning(ctx, "follower", i.followParent)
+	go i.keepRunning(ctx, "comparison", i.queryPeers)
+	go i.keepRunning(ctx, "registration", i.keepRegistered)
+	go i.keepRunning(ctx, "peer checks", i.watchPeers)
 }
 
 // readStore lists and watches a kind in the store while this instance should read it.
 func (i *Instance) readStore(ctx context.Context, kind string) {
-	i.listInitially(ctx, kind)
-	i.firstLists.Done()
 	wait := i.timing.WatchWait
 	if kind == i.platform.InstanceKind {
 		wait = i.timing.InstanceWatchWait
@@ -245,7 +249,7 @@
 // recordStoreFailure records that the store did not answer.
 func (i *Instance) recordStoreFailure(now time.Duration) {
 	i.replica.RecordStoreFailure(now)
-	i.mu.Lock()
+	i.lockState()
 	defer i.mu.Unlock()
 	i.forward.View.OutageAt = now
 }
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -141,7 +141,13 @@
 	}
 }
 
+// encode appends the line of an item. A record that panics costs its own line only.
 func (l *Log) encode(q queueItem) {
+	defer func() {
+		if recover() != nil {
+			l.buffer = append(l.buffer, unformattedLine...)
+		}
+	}()
 	if q.record != nil {
 		line := newLine(l.buffer, q.at, q.class, l.instance)
 		q.record.Encode(line)
@@ -156,11 +162,14 @@
 	entry := &logrus.Entry{Logger: l.logger, Data: data, Time: q.at, Level: logrus.InfoLevel, Message: q.event.message}
 	b, err := l.logger.Formatter.Format(entry)
 	if err != nil {
-		b = []byte(`{"msg":"log line can't be formatted"}` + "\n")
+		b = []byte(unformattedLine)
 	}
 	l.buffer = append(l.buffer, b...)
 }
 
+// unformattedLine takes the place of a line that can't be encoded.
+const unformattedLine = `{"msg":"log line can't be formatted"}` + "\n"
+
 // chunkSize returns the number of bytes of b, in whole lines, to write in one call.
 func chunkSize(b []byte) int {
 	if len(b) <= writeLimitBytes {
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -122,3 +122,29 @@
 	must.Len(t, 302, lines)
 	must.Eq(t, any(long), lines[300]["text"])
 }
+
+// panickingRecord panics in the midst of its line.
+type panickingRecord struct{}
+
+func (panickingRecord) Encode(l *Line) {
+	l.Message("half")
+	panic("record")
+}
+
+// Guards against a record that ends the process, or the lines of others, when it can't be encoded.
+func TestRecordThatPanics(t *testing.T) {
+	var out bytes.Buffer
+	logger, err := logfield.New(&out, "info", logfield.JSON)
+	must.NoError(t, err)
+	l := New(logger, "i")
+	class := &Class{Name: "c", Limit: 10}
+	l.Event(class, "before", nil)
+	l.Add(class, panickingRecord{})
+	l.Event(class, "after", nil)
+	l.Flush()
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	must.Len(t, 3, lines)
+	must.StrContains(t, lines[0], "before")
+	must.Eq(t, strings.TrimSpace(unformattedLine), lines[1])
+	must.StrContains(t, lines[2], "after")
+}
--- a/internal/metric/names.go
+++ b/internal/metric/names.go
@@ -50,7 +50,8 @@
 	EdgeReady         = Declaration{"guavaloom_edge_ready", "boolean", "1 while the instance reports that it is ready.", Gauge, ""}
 	EdgeViewAge       = Declaration{"guavaloom_edge_view_age_ms", "milliseconds", "Time since the replica was last known to match the store, by kind of object.", Gauge, "kind"}
 	EdgeChanges       = Declaration{"guavaloom_edge_view_changes_total", "changes", "Changes of the view, by kind.", Counter, "change"}
-	EdgeSkippedInputs = Declaration{"guavaloom_edge_skipped_inputs_total", "inputs", "Packets and entries skipped because processing them panicked, by part of the program.", Counter, "part"}
+	EdgeSkippedInputs = Declaration{"guavaloom_edge_skipped_inputs_total", "inputs", "Packets, entries and rounds of periodic work skipped because processing them panicked, by part of the program.", Counter, "part"}
+	EdgeRebuilds      = Declaration{"guavaloom_edge_state_rebuilds_total", "rebuilds", "Rebuilds of the view and the flow table from the replica after a panic.", Counter, ""}
 	EdgeReports       = Declaration{"guavaloom_edge_reports_total", "datagrams", "Reports about targets exchanged with other instances: sent, received, or dropped with the reason.", Counter, "event"}
 	EdgeEvacuations   = Declaration{"guavaloom_edge_evacuations", "data centres", "Evacuated data centres known to the instance.", Gauge, ""}
 	EdgeOverload      = Declaration{"guavaloom_edge_overload_total", "flows", "New flows of full services, by outcome (admitted, elsewhere or rejected), priority and kind of the route.", Counter, "class"}
