edge: the wait of a detached instance differs by its name

The random source was seeded by the time of day, which many instances have alike when they start at the same moment, so that those that lose their parent together could call the store together.

--- a/internal/edge/instance.go
+++ b/internal/edge/instance.go
@@ -46,6 +46,8 @@
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = 10 * time.Second
 	maxHeaderBytes = 16 << 10
+	// jitterSteps is the number of values of the jitter that follows from an instance's name.
+	jitterSteps = 1024
 	// maxServerMessageBytes bounds the logged part of a message from an HTTP server.
 	maxServerMessageBytes = 1024
 )
@@ -144,7 +146,7 @@
 		metrics:     metric.NewSet(),
 		replica:     replica.New(p.kinds()...),
 		registry:    newRegistry(s),
-		graceJitter: newRand().Float64(),
+		graceJitter: float64(rendezvous.Seed(s.Name)%jitterSteps) / jitterSteps,
 		peerClient:  &http.Client{Transport: p.Transport},
 		stopped:     make(chan struct{}),
 		recent:      recentInstances{},
